--- /dev/null
+++ b/src/benchlink/wire.h
@@ -0,0 +1,61 @@
+// The bench's wire: its names and words, and how they are read and written. Nothing here decides.
+#pragma once
+#include <rapidjson/document.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "logic.h"
+
+namespace robinhoist::benchlink {
+
+using Json = rapidjson::Value;
+
+// What is wrong with the input; the caller adds the line.
+struct BadInput : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+// One instance, with the words that stand for its indices.
+struct Instance {
+  std::unique_ptr<Umpire> umpire;
+  std::vector<std::string> node_names, report_names;
+  std::unordered_map<std::string, int> nodes, txns;
+  std::unordered_map<int, std::string> txn_names;
+  int next_txn = 0, products = 0, tenants = 0, zones = 0;
+  bool touched = false;
+};
+
+// Reads events line by line and gathers the reply of a batch.
+class Wire {
+ public:
+  // Reads one line; returns true when it closed a batch and `reply` holds what to write.
+  bool read(std::string& line, std::string& reply);
+
+ private:
+  using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
+
+  void event(const std::string& name, const Json& fields);
+  void hello(const std::string& who, const Json& fields);
+  void list(Instance& instance, const Json& fields);
+  void demand(Instance& instance, const Json& fields);
+  void promotion(Instance& instance, const Json& fields);
+  Instance& known(const std::string& who, bool touch);
+  void answer(const std::string& who, Instance& instance);
+  void write(const std::string& who, Instance& instance, const Decision& decision);
+
+  bool open_ = false;
+  Span now_{};
+  std::unordered_map<std::string, std::unique_ptr<Instance>> instances_;
+  std::vector<std::string> touched_;
+  std::vector<NodeNews> banks_[16];
+  std::vector<std::string> bank_names_[16];
+  rapidjson::StringBuffer out_;
+};
+
+}  // namespace robinhoist::benchlink
--- /dev/null
+++ b/src/logic.cpp
@@ -0,0 +1,832 @@
+// All decisions of robinhoist. The interface is in logic.h, the plain types in state.h.
+// How to call it: make one Umpire for each instance, tell it what happens (txn_arrived, submission_ended,
+// release_news, ...), then pull next(now) until it returns nothing and carry out what it says. Inputs only
+// note; every choice is made in next().
+#include "logic.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace robinhoist {
+namespace {
+
+using std::chrono::duration;
+using namespace std::chrono_literals;
+
+double seconds(Span s) { return duration<double>(s).count(); }
+double millis(Span s) { return seconds(s) * 1e3; }
+Span from_millis(double ms) { return Span(static_cast<long long>(ms * 1e3)); }
+double draw(Chance& chance) { return std::uniform_real_distribution<double>(0, 1)(chance); }
+
+// Chance of k or more rare events where `expected` are due.
+double tail(double k, double expected) {
+  double term = std::exp(-expected), below = 0;
+  for (int i = 0; i < k; ++i) {
+    below += term;
+    term *= expected / (i + 1);
+  }
+  return std::max(0.0, 1 - below);
+}
+
+std::string figures(const char* what, double a, double b) {
+  char text[96];
+  std::snprintf(text, sizeof text, "%s %.3g against %.3g", what, a, b);
+  return text;
+}
+
+bool lost(Outcome o) { return o == Outcome::timeout || o == Outcome::no_connection || o == Outcome::reset; }
+bool proves_not_run(Outcome o) {
+  return o == Outcome::full || o == Outcome::no_connection || o == Outcome::moot;
+}
+
+// Nodes
+constexpr std::size_t results_kept = 16, took_kept = 64;
+constexpr Span result_life = 5s;         // health goes by results no older than this
+constexpr Span first_bench = 500ms;      // a node that lost two in a row rests so long, then doubling
+constexpr Span failing_rest = 2s;        // a failing node is tried again after so long without a failure
+constexpr Span full_rest = 100ms;        // a node that turned work away
+constexpr double cold_margin = 0.6;      // part of what the cold rule allows that is used
+constexpr Span ask_pause_least = 400ms, ask_pause_most = 3s;
+}  // namespace
+
+Nodes::Nodes(const NodeSettings& settings, const std::vector<Product>& products)
+    : settings_(settings),
+      products_(products),
+      took_(products.size(), Samples<Took>(took_kept)),
+      sorted_(products.size()),
+      unsorted_(products.size(), 0),
+      ask_pause_(ask_pause_least) {}
+
+void Nodes::news(ListNews kind, const std::vector<NodeNews>& entries, Span now) {
+  if (kind == ListNews::failed) {
+    asked_ = false;
+    ask_at_ = now + ask_pause_;
+    ask_pause_ = std::min(2 * ask_pause_, ask_pause_most);
+    return;
+  }
+  if (kind != ListNews::saved) ask_pause_ = ask_pause_least;
+  if (kind != ListNews::changes)
+    for (Node& node : nodes_) node.phase = NodePhase::out;
+  for (const NodeNews& entry : entries) {
+    if (entry.node >= static_cast<int>(nodes_.size())) nodes_.resize(entry.node + 1);
+    Node& node = nodes_[entry.node];
+    // A new start or another build is another process: what was known of the old one says nothing.
+    if (!node.listed || node.started != entry.started || node.build != entry.build) {
+      node.results = Samples<Result>(results_kept);
+      node.dead_run = 0;
+      node.heard_at = node.full_at = long_ago;
+    }
+    node.listed = true;
+    node.phase = entry.phase;
+    node.zone = entry.zone;
+    node.cell = entry.cell;
+    node.build = entry.build;
+    node.size = settings_.sized && entry.size > 0 ? entry.size : 1;
+    node.started = entry.started;
+  }
+}
+
+bool Nodes::open(int n) const { return nodes_[n].listed && nodes_[n].phase == NodePhase::in; }
+
+double Nodes::warmth(int n, Span now) const {
+  const Node& node = nodes_[n];
+  if (node.started == Span{} || now >= node.started + settings_.cold_for) return 1;
+  double age = std::max(0.0, seconds(now - node.started) / seconds(settings_.cold_for));
+  return settings_.cold_from + (1 - settings_.cold_from) * age;
+}
+
+void Nodes::sent(int n, Span now) {
+  nodes_[n].out.push_back(now);
+  if (warmth(n, now) < 1) nodes_[n].sends.push_back(now);
+}
+
+void Nodes::ended(const Submission& submission, Outcome outcome, const Arrival& txn, Span now) {
+  Node& node = nodes_[submission.node];
+  auto at = std::find(node.out.begin(), node.out.end(), submission.sent);
+  if (at != node.out.end()) node.out.erase(at);
+  Span took = now - submission.sent;
+  bool unheard = node.heard_at < submission.sent && took > patience();
+  if (outcome == Outcome::moot || (outcome == Outcome::cancelled && !unheard)) return;
+  if (lost(outcome) || outcome == Outcome::cancelled) {
+    if (node.heard_at < submission.sent) {
+      ++node.dead_run;
+      node.dead_at = now;
+    }
+  } else {
+    node.dead_run = 0;
+    node.heard_at = now;
+  }
+  if (outcome == Outcome::full) {
+    node.full_at = now;
+    return;
+  }
+  node.results.push({now, outcome == Outcome::ok, ratio(txn.product, took, txn.hint_ms)});
+  if (outcome != Outcome::ok) return;
+  // What warm nodes carry, for the cold rule: answers in a window, for each warm node.
+  settled_.push_back(now);
+  while (settled_.front() < now - settings_.fall_window) settled_.pop_front();
+  int warm = 0, listed = 0;
+  for (int n = 0; n < static_cast<int>(nodes_.size()); ++n) {
+    listed += open(n);
+    warm += open(n) && warmth(n, now) >= 1;
+  }
+  if (4 * warm >= listed && warm > 0) fair_ = static_cast<double>(settled_.size()) / warm;
+}
+
+void Nodes::learn(int product, Span took, double hint_ms) {
+  took_[product].push({millis(took), hint_ms > 0 ? millis(took) / hint_ms : millis(took)});
+  ++unsorted_[product];
+}
+
+double Nodes::usual_ms(int product, double part) {
+  std::vector<double>& sorted = sorted_[product];
+  if (unsorted_[product] > 8 || sorted.size() < took_kept / 8) {
+    sorted.clear();
+    for (std::size_t i = 0; i < took_[product].size(); ++i) sorted.push_back(took_[product].back(i).ms);
+    std::sort(sorted.begin(), sorted.end());
+    unsorted_[product] = 0;
+  }
+  if (sorted.empty()) return millis(products_[product].sla) / 4;
+  return sorted[std::min(sorted.size() - 1, static_cast<std::size_t>(part * sorted.size()))];
+}
+
+double Nodes::ratio(int product, Span took, double hint_ms) {
+  if (hint_ms <= 0 || took_[product].size() == 0) return millis(took) / usual_ms(product, 0.5);
+  std::vector<double> rates;
+  for (std::size_t i = 0; i < took_[product].size(); ++i) rates.push_back(took_[product].back(i).per_hint);
+  std::nth_element(rates.begin(), rates.begin() + rates.size() / 2, rates.end());
+  return millis(took) / hint_ms / rates[rates.size() / 2];
+}
+
+double Nodes::sla_part(int product, Span took) const { return millis(took) / millis(products_[product].sla); }
+void Nodes::report(int n, const Load& load) { nodes_[n].load = load; }
+
+// The longest that an answer may keep us waiting before its node is taken to be silent.
+Span Nodes::patience() {
+  double most = 0;
+  for (int p = 0; p < static_cast<int>(products_.size()); ++p)
+    most = std::max(most, std::max(2 * usual_ms(p, 0.95), millis(products_[p].sla) / 2));
+  return from_millis(most);
+}
+
+// Rule 4. Each umpire keeps to its own part: what its warm nodes carry, times what a cold one may be sent.
+bool Nodes::has_room(int n, Span now) {
+  Node& node = nodes_[n];
+  if (warmth(n, now) >= 1) return true;
+  while (!node.sends.empty() && node.sends.front() < now - settings_.fall_window) node.sends.pop_front();
+  double then = warmth(n, std::max(node.started, now - settings_.fall_window));
+  double most = cold_margin * settings_.fall_multiple * then * fair_ * node.size;
+  return node.sends.size() < std::max(1.0, most);
+}
+
+// Guards against nodes that swallow, fail or turn away work, whatever the cause. It hurts when all nodes
+// are poorly: then choose() falls back on the least bad.
+bool Nodes::well(int n, Span now) {
+  Node& node = nodes_[n];
+  if (node.dead_run >= 2) {
+    Span rest = first_bench * (1 << std::min(node.dead_run - 2, 3));
+    return now >= node.dead_at + rest && node.out.empty();
+  }
+  if (now < node.full_at + full_rest) return false;
+  if (!node.out.empty() && node.heard_at < node.out.front() && now - node.out.front() > patience()) return false;
+  int failed = 0, seen = 0;
+  Span last = long_ago;
+  for (std::size_t i = 0; i < node.results.size(); ++i) {
+    const Result& result = node.results.back(i);
+    if (result.at < now - result_life) break;
+    ++seen;
+    if (result.ok) continue;
+    ++failed;
+    last = std::max(last, result.at);
+  }
+  if (failed >= 3 && failed * 4 >= seen) return now > last + failing_rest && node.out.empty();
+  return true;
+}
+
+// Own txns in flight, weighed by size, warmth and how slow the node's last answers were.
+double Nodes::cost(int n, Span now) {
+  const Node& node = nodes_[n];
+  double sum = 0, seen = 0;
+  for (std::size_t i = 0; i < node.results.size(); ++i) {
+    const Result& result = node.results.back(i);
+    if (result.at < now - result_life) break;
+    sum += std::clamp(result.ratio, 0.3, 8.0);
+    ++seen;
+  }
+  double slow = std::max(1.0, (sum + 3) / (seen + 3) / 1.3);
+  return (node.out.size() + 1) * slow / (node.size * warmth(n, now));
+}
+
+int Nodes::better_of_two(const std::vector<int>& among, Span now, Chance& chance) {
+  if (among.empty()) return -1;
+  int a = among[static_cast<std::size_t>(draw(chance) * among.size())];
+  if (among.size() == 1) return a;
+  int b = a;
+  while (b == a) b = among[static_cast<std::size_t>(draw(chance) * among.size())];
+  return cost(b, now) < cost(a, now) ? b : a;
+}
+
+// Two random choices among the well nodes of the own zone, or abroad where that is clearly better.
+int Nodes::choose(const std::function<bool(int)>& may, bool careful, Span now, Chance& chance) {
+  std::vector<int> near, far, poorly;
+  for (int n = 0; n < static_cast<int>(nodes_.size()); ++n) {
+    if (!open(n) || !may(n) || !has_room(n, now)) continue;
+    if (!well(n, now) || (careful && nodes_[n].dead_run > 0))
+      poorly.push_back(n);
+    else
+      (nodes_[n].zone == settings_.zone ? near : far).push_back(n);
+  }
+  if (near.empty() && far.empty()) return better_of_two(poorly, now, chance);
+  int a = better_of_two(near, now, chance), b = better_of_two(far, now, chance);
+  if (a < 0 || b < 0) return a < 0 ? b : a;
+  return cost(a, now) > 1.3 * cost(b, now) + 1 ? b : a;
+}
+
+// Where the list must be asked for: subscribe at once, again after a failure with growing pauses.
+std::optional<Decision> Nodes::next(Span now, Chance& chance) {
+  if (!settings_.must_ask || asked_ || now < ask_at_) return {};
+  asked_ = true;
+  ask_pause_ += from_millis(draw(chance) * 200);
+  return Decision{.action = Action::subscribe};
+}
+
+// Exposure
+
+Exposure::Exposure(const ExposureSettings& settings, int products, Span tick)
+    : settings_(settings), tick_(tick), counts_(settings.by_product ? products : 1) {}
+
+void Exposure::news(const RelNews& rel) {
+  if (rel.phase == RelPhase::going_back || rel.phase == RelPhase::withdrawn) moved_keys_.clear();
+  rel_ = rel;
+}
+
+Exposure::Count& Exposure::count(int product) { return counts_[settings_.by_product ? product : 0]; }
+
+// Sends are kept a tick longer than txns taken, so that either way of reading the window's ends holds.
+void Exposure::trim(Count& count, Span now) const {
+  while (!count.taken.empty() && count.taken.front() <= now - settings_.window + tick_) count.taken.pop_front();
+  while (!count.sent.empty() && count.sent.front() < now - settings_.window - tick_) count.sent.pop_front();
+}
+
+void Exposure::taken(int product, Span now) {
+  count(product).taken.push_back(now);
+  trim(count(product), now);
+}
+
+void Exposure::sent(int product, Span now) { count(product).sent.push_back(now); }
+
+void Exposure::answered(const std::string& key, int build) {
+  if (settings_.one_way && !key.empty() && on_trial(build)) moved_keys_[key] = build;
+}
+
+bool Exposure::on_trial(int build) const {
+  if (!rel_) return false;
+  return build > rel_->build || (build == rel_->build && rel_->phase != RelPhase::released);
+}
+
+// A build that no news has named counts as in the first stage; one on its way back takes nothing.
+double Exposure::cap(int build) const {
+  if (build > rel_->build) return settings_.caps.empty() ? 0 : settings_.caps.front();
+  return rel_->phase == RelPhase::trial ? rel_->cap : 0;
+}
+
+bool Exposure::allows(const Arrival& txn, int build, Effect effect, Span now) {
+  if (settings_.one_way && !txn.key.empty()) {
+    auto moved = moved_keys_.find(txn.key);
+    if (moved != moved_keys_.end() && build < moved->second) return false;
+  }
+  if (!on_trial(build)) return true;
+  double most = cap(build);
+  if (most <= 0) return false;
+  int stage = build > rel_->build ? 0 : rel_->stage;
+  if (effect != Effect::inquiry && stage < settings_.safe_only_stages) return false;
+  Count& of = count(txn.product);
+  trim(of, now);
+  return of.sent.size() + 1 <= settings_.free + most * of.taken.size();
+}
+
+double Exposure::taken_per_s(Span now) {
+  double all = 0;
+  for (Count& of : counts_) {
+    trim(of, now);
+    all += of.taken.size();
+  }
+  return all / seconds(settings_.window);
+}
+
+// Trial
+namespace {
+constexpr std::size_t fresh_kept = 600, older_kept = 800;
+constexpr double least_submissions = 10;  // the source's minimum before a stage is judged
+constexpr Span least_window = 4s;         // from the latest start in the stage
+constexpr double failure_threshold = 0.03;
+constexpr double beyond_chance = 0.001;   // how unlikely failures must be before they count as the build's
+constexpr Span hold_most = 4s;            // a stage is held up no longer than this for want of evidence
+}  // namespace
+
+Trial::Trial(const GateSettings& settings, int products, Span cold_for)
+    : settings_(settings), products_(products), cold_for_(cold_for), fresh_(fresh_kept), older_(older_kept) {}
+
+void Trial::news(const RelNews& rel, Span now) {
+  bool moved = !rel_ || rel_->build != rel.build || rel_->stage != rel.stage || rel_->phase != rel.phase;
+  if (!rel_ || rel_->build != rel.build) {
+    seen_on_trial_ = false;
+    condemned_ = {};
+  }
+  if (rel.phase == RelPhase::trial) seen_on_trial_ = true;
+  if (moved) {
+    // Counters reset per stage, as in the source.
+    stage_at_ = now - rel.since;
+    held_from_ = long_ago;
+    fresh_.clear();
+  }
+  rel_ = rel;
+}
+
+// Whether the build is the one being judged: on trial, or released under our eyes and still to be sent back.
+bool Trial::watched(int build) const {
+  if (!rel_ || build < rel_->build) return false;
+  return build > rel_->build || rel_->phase != RelPhase::released || seen_on_trial_;
+}
+
+void Trial::noted(int build, const Sample& sample) { (watched(build) ? fresh_ : older_).push(sample); }
+void Trial::settled(int build) { answers_[build].first += 1; }
+void Trial::flagged(int build) { answers_[build].second += 1; }
+
+void Trial::tally(Arm& arm, const Samples<Sample>& samples, Span from,
+                  const std::function<bool(int)>& skip) const {
+  arm.by_product.resize(products_);
+  for (std::size_t i = 0; i < samples.size(); ++i) {
+    const Sample& sample = samples.back(i);
+    if (sample.at < from) break;
+    if (skip(sample.node)) continue;
+    double log_ratio = std::log(std::clamp(sample.ratio, 0.05, 20.0));
+    for (Counts* counts : {&arm.by_node[sample.node], &arm.by_product[sample.product], &arm.all}) {
+      counts->n += 1;
+      counts->failed += sample.failed;
+      if (!sample.warm) continue;
+      counts->timed += 1;
+      counts->sum += log_ratio;
+      counts->squares += log_ratio * log_ratio;
+    }
+    if (sample.warm) arm.sla_parts.push_back(sample.sla_part);
+  }
+}
+
+Finding Trial::judge(const std::vector<Node>& nodes, double trial_per_s, Span now) {
+  if (!rel_ || (rel_->phase != RelPhase::trial && !(rel_->phase == RelPhase::released && seen_on_trial_)))
+    return {};
+  if (condemned_.verdict == Verdict::back) return condemned_;
+  auto none = [](int) { return false; };
+  Arm old, young;
+  tally(old, older_, stage_at_, none);
+  if (old.all.n < 2 * least_submissions) {
+    old = {};
+    tally(old, older_, long_ago, none);
+  }
+  tally(young, fresh_, stage_at_, none);
+
+  // Trouble of a machine is not the build's: where machines of the older build are poorly in the same way,
+  // a small part of the trial's machines may be poorly too and is left out. It hurts where a bad build and
+  // machine trouble meet, until more machines of the build run.
+  auto poorly = [](const Counts& c) {
+    return (c.n >= 5 && c.failed >= 0.25 * c.n) || (c.timed >= 5 && c.sum >= std::log(1.8) * c.timed);
+  };
+  auto poorly_in = [&](const Arm& arm) {
+    return std::count_if(arm.by_node.begin(), arm.by_node.end(), [&](auto& c) { return poorly(c.second); });
+  };
+  auto most_left_out = std::max<long>(1, static_cast<long>(young.by_node.size() / 5));
+  if (poorly_in(old) > 0 && poorly_in(young) <= most_left_out) {
+    std::map<int, Counts> by_node = young.by_node;
+    young = {};
+    tally(young, fresh_, stage_at_, [&](int n) { return poorly(by_node[n]); });
+  }
+
+  // Failures: over the threshold, and more than the older build's rate and chance explain.
+  bool doubtful = false;
+  auto failing = [&](const Counts& c, const Counts& base) {
+    double usual = std::max(0.01, (base.failed + 0.5) / (base.n + 25));
+    double luck = tail(c.failed, usual * c.n);
+    doubtful |= c.failed >= 2 && luck < 0.03;
+    return c.n >= least_submissions && c.failed >= 3 && c.failed > failure_threshold * c.n && luck < beyond_chance;
+  };
+  if (failing(young.all, old.all))
+    return condemned_ = {Verdict::back, true, figures("failures", young.all.failed / young.all.n, old.all.failed / old.all.n)};
+  for (int p = 0; p < products_; ++p)
+    if (failing(young.by_product[p], old.by_product[p]))
+      return condemned_ = {Verdict::back, true,
+                           figures("failures of a product", young.by_product[p].failed, young.by_product[p].n)};
+
+  // Answers found wrong come seconds late, so they are counted by build and not by stage.
+  auto [given, wrong] = answers_[rel_->build];
+  double old_given = 0, old_wrong = 0;
+  for (auto& [build, counts] : answers_) {
+    if (build >= rel_->build) continue;
+    old_given += counts.first;
+    old_wrong += counts.second;
+  }
+  double luck = tail(wrong, given * (old_wrong + 1) / (old_given + 250));
+  doubtful |= wrong >= 1 && luck < 0.15;
+  if (wrong >= 2 && luck < 0.004) return condemned_ = {Verdict::back, true, figures("wrong answers", wrong, given)};
+
+  // Slowness, on warm machines only: the p99 against its ceiling, the SLA time, then the whole distribution
+  // against the older build's, which sees it long before a p99 of a few answers can.
+  if (young.all.timed >= 20 && old.all.timed >= 20 && rel_->phase == RelPhase::trial) {
+    auto p99 = [](std::vector<double>& parts) {
+      auto at = parts.begin() + static_cast<long>(0.99 * (parts.size() - 1));
+      std::nth_element(parts.begin(), at, parts.end());
+      return *at;
+    };
+    double young_p99 = p99(young.sla_parts), old_p99 = p99(old.sla_parts);
+    if (young.all.timed >= 100 && young_p99 > 1 && young_p99 > 2 * old_p99)
+      return condemned_ = {Verdict::back, true, figures("p99 in SLA times", young_p99, old_p99)};
+    auto mean = [](const Counts& c) { return c.sum / c.timed; };
+    auto spread = [&](const Counts& c) { return std::max(0.0, c.squares / c.timed - mean(c) * mean(c)) / c.timed; };
+    double apart = mean(young.all) - mean(old.all);
+    double error = std::sqrt(spread(young.all) + spread(old.all));
+    doubtful |= apart > 0.3 && apart > 2 * error;
+    if (apart > 0.36 && apart - 2.5 * error > 0.15)
+      return condemned_ = {Verdict::back, true, figures("times the older's latency", std::exp(apart), std::exp(error))};
+  }
+
+  Span latest = stage_at_;
+  for (const Node& node : nodes)
+    if (node.listed && node.build == rel_->build) latest = std::max(latest, node.started);
+  bool judged = young.all.n >= least_submissions && now >= latest + std::max(least_window, settings_.bake);
+  if (rel_->phase == RelPhase::released) return {Verdict::none, judged, "released"};
+  if (settings_.gate != Gate::clock) {
+    if (judged && !doubtful) return {Verdict::on, true, figures("failures", young.all.failed, young.all.n)};
+    return {};
+  }
+  // An umpire too quiet to reach the minimum soon does not hold the others up.
+  double lacking = least_submissions - young.all.n;
+  bool soon = lacking <= 0 || lacking < 3 * trial_per_s;
+  bool near_end = now >= latest + settings_.step - 300ms;
+  if (near_end && ((lacking > 0 && soon) || doubtful)) {
+    if (held_from_ == long_ago) held_from_ = now;
+    if (now < held_from_ + hold_most) return {Verdict::hold, false, figures("held at", young.all.n, young.all.failed)};
+  }
+  return {Verdict::none, judged, figures("failures", young.all.failed, young.all.n)};
+}
+
+// Ballot
+
+Ballot::Ballot(const GateSettings& settings) : settings_(settings) {}
+
+void Ballot::news(const RelNews& rel) {
+  if (rel.build != build_ || rel.stage != stage_ || rel.phase != phase_) stands_ = Verdict::none;
+  build_ = rel.build;
+  stage_ = rel.stage;
+  phase_ = rel.phase;
+}
+
+// A decided umpire draws once per vote life. The draw falls within the time that the allowance needs for one
+// vote of each umpire, not anywhere in the vote's life: a 'back' that waits out half a life does harm.
+void Ballot::wants(Verdict verdict, Span now, Chance& chance) {
+  if (verdict == want_) return;
+  want_ = verdict;
+  draw_at_ = now + from_millis(1e3 * draw(chance) * settings_.umpires / std::max(1.0, settings_.calls_per_s));
+}
+
+void Ballot::answered(Outcome outcome, Span now) {
+  waiting_ = false;
+  if (outcome == Outcome::ok) {
+    stands_ = asked_;
+    stands_until_ = asked_at_ + settings_.vote_life;
+  } else {
+    retry_at_ = now + (outcome == Outcome::moot ? 500ms : 250ms);
+  }
+}
+
+std::optional<Decision> Ballot::next(Span now, Chance& chance) {
+  // An answer that never came: twice the longest wait is enough.
+  if (waiting_ && now < asked_at_ + 2 * settings_.call_timeout) return {};
+  if (now >= stands_until_) stands_ = Verdict::none;
+  bool renew = stands_ == want_ && want_ != Verdict::none && now >= stands_until_ - settings_.vote_life / 4;
+  if ((stands_ == want_ && !renew) || now < draw_at_ || now < retry_at_) return {};
+  double chosen = settings_.calls_per_s * seconds(settings_.vote_life) / std::max(1, settings_.umpires);
+  if (want_ != Verdict::none && chosen < 1 && draw(chance) >= chosen) {
+    draw_at_ = now + settings_.vote_life;
+    return {};
+  }
+  waiting_ = true;
+  asked_ = want_;
+  asked_at_ = now;
+  return Decision{.action = Action::vote, .build = build_, .stage = stage_, .verdict = want_};
+}
+
+// Txns
+namespace {
+constexpr double cap_used = 0.9;        // part of the cap that first attempts fill
+constexpr double most_load = 1.2;       // a trial machine's load against a usual machine's
+constexpr std::size_t copies_kept = 100;
+constexpr int copies_most = 10;         // of the last hundred txns sent, so many may have had a second copy
+constexpr Span hold_step = 25ms;
+}  // namespace
+
+Txns::Txns(const TxnSettings& settings, Nodes& nodes, Exposure& exposure, Trial& trial, Chance& chance)
+    : settings_(settings),
+      nodes_(nodes),
+      exposure_(exposure),
+      trial_(trial),
+      chance_(chance),
+      copies_(copies_kept) {}
+
+void Txns::arrived(const Arrival& asked, Span now) {
+  txns_[asked.txn] = Txn{.asked = asked, .taken = now};
+  ready_.push_back(asked.txn);
+}
+
+const Txn* Txns::find(int id) const {
+  auto at = txns_.find(id);
+  return at == txns_.end() ? nullptr : &at->second;
+}
+
+void Txns::streaming(int id) {
+  auto at = txns_.find(id);
+  if (at != txns_.end()) at->second.streaming = true;
+}
+
+void Txns::ended(int id, int submission, Outcome outcome, bool settled, Span) {
+  auto at = txns_.find(id);
+  if (at == txns_.end() || submission >= static_cast<int>(at->second.submissions.size())) return;
+  Txn& txn = at->second;
+  Submission& one = txn.submissions[submission];
+  one.out = false;
+  one.never_ran = proves_not_run(outcome);
+  if (settled && !txn.over) {
+    txn.over = true;
+    if (settings_.cancelling && !txn.streaming)
+      for (std::size_t i = 0; i < txn.submissions.size(); ++i)
+        if (txn.submissions[i].out) cancels_.push_back({id, static_cast<int>(i)});
+  }
+  if (txn.over)
+    forget(id);
+  else
+    ready_.push_back(id);
+}
+
+void Txns::left(int id) {
+  auto at = txns_.find(id);
+  if (at == txns_.end()) return;
+  at->second.over = true;
+  forget(id);
+}
+
+void Txns::forget(int id) {
+  auto at = txns_.find(id);
+  for (const Submission& one : at->second.submissions)
+    if (one.out) return;
+  txns_.erase(at);
+}
+
+void Txns::look(int id, Txn& txn, Span at) {
+  if (txn.look_at != Span{} && txn.look_at <= at) return;
+  txn.look_at = at;
+  looks_.push({at, id});
+}
+
+std::optional<Span> Txns::next_look() const {
+  if (looks_.empty()) return {};
+  return looks_.top().first;
+}
+
+std::optional<Decision> Txns::next(Span now) {
+  while (!cancels_.empty()) {
+    auto [id, submission] = cancels_.front();
+    cancels_.pop_front();
+    const Txn* txn = find(id);  // it may have come back in the meantime
+    if (!txn || !txn->submissions[submission].out) continue;
+    return Decision{.action = Action::cancel, .txn = id, .submission = submission};
+  }
+  while (!looks_.empty() && looks_.top().first <= now) {
+    int id = looks_.top().second;
+    looks_.pop();
+    auto at = txns_.find(id);
+    if (at == txns_.end() || at->second.look_at > now) continue;
+    at->second.look_at = Span{};
+    ready_.push_back(id);
+  }
+  while (!ready_.empty()) {
+    int id = ready_.front();
+    ready_.pop_front();
+    auto at = txns_.find(id);
+    if (at == txns_.end() || at->second.over || at->second.streaming) continue;
+    if (auto decision = decide(id, at->second, now)) return decision;
+  }
+  return {};
+}
+
+// The share of first attempts that the newest build is to get: 0.9 of the cap, but no more than its machines
+// can carry without working harder than `most_load` times a usual machine; they count by their warmth.
+double Txns::trial_share(Span now) {
+  int newest = -1;
+  const auto& nodes = nodes_.all();
+  for (int n = 0; n < static_cast<int>(nodes.size()); ++n)
+    if (nodes_.open(n)) newest = std::max(newest, nodes[n].build);
+  double young = 0, old = 0, all = 0;
+  for (int n = 0; n < static_cast<int>(nodes.size()); ++n) {
+    if (!nodes_.open(n)) continue;
+    all += nodes[n].size;
+    if (nodes[n].build != newest)
+      old += nodes[n].size;
+    else if (nodes_.well(n, now))
+      young += nodes[n].size * nodes_.warmth(n, now);
+  }
+  if (old == 0) return 1;
+  double places = exposure_.in_place() ? all : std::max(old, young);
+  double able = std::min(1.0, most_load * young / places);
+  return exposure_.on_trial(newest) ? std::min(cap_used * exposure_.cap(newest), able) : able;
+}
+
+// Rule 2: where a txn that may have run can go again.
+bool Txns::may_go(const Txn& txn, int node, Span now) const {
+  const Product& product = settings_.products[txn.asked.product];
+  if (product.effect == Effect::inquiry) return true;
+  for (const Submission& one : txn.submissions) {
+    if (one.never_ran) continue;
+    if (product.effect == Effect::once_only || now + settings_.tick >= one.sent + product.memory) return false;
+    const Node &there = nodes_.all()[node], &before = nodes_.all()[one.node];
+    if (product.group == Group::zone && there.zone != before.zone) return false;
+    if (product.group == Group::cell && there.cell != before.cell) return false;
+  }
+  return true;
+}
+
+bool Txns::may_have_run(const Txn& txn) const {
+  return std::any_of(txn.submissions.begin(), txn.submissions.end(), [](auto& one) { return !one.never_ran; });
+}
+
+int Txns::place(const Txn& txn, Span now) {
+  const Product& product = settings_.products[txn.asked.product];
+  int newest = -1;
+  for (int n = 0; n < static_cast<int>(nodes_.all().size()); ++n)
+    if (nodes_.open(n)) newest = std::max(newest, nodes_.all()[n].build);
+  // A repeat goes to the older build where there is one: the trial's allowance is for first attempts.
+  bool young = txn.submissions.empty() && draw(chance_) < trial_share(now);
+  for (bool arm : {young, !young}) {
+    auto may = [&](int n) {
+      int build = nodes_.all()[n].build;
+      if ((build == newest) != arm || !may_go(txn, n, now)) return false;
+      for (const Submission& one : txn.submissions)
+        if (one.node == n && !one.never_ran) return false;
+      return exposure_.allows(txn.asked, build, product.effect, now);
+    };
+    int node = nodes_.choose(may, product.effect == Effect::once_only, now, chance_);
+    if (node >= 0) return node;
+  }
+  return -1;
+}
+
+std::optional<Decision> Txns::submit(int id, Txn& txn, int node, Span now) {
+  int build = nodes_.all()[node].build;
+  bool trial = exposure_.on_trial(build);
+  txn.submissions.push_back({.node = node, .build = build, .sent = now, .trial = trial});
+  nodes_.sent(node, now);
+  if (trial) exposure_.sent(txn.asked.product, now);
+  copies_.push(txn.submissions.size() > 1);
+  ready_.push_back(id);
+  return Decision{.action = Action::submit, .txn = id, .node = node};
+}
+
+// Declining tells the client that it may safely come again, so it needs rule 2; else the txn is voided.
+std::optional<Decision> Txns::finish(int id, Txn& txn, Span now) {
+  const Product& product = settings_.products[txn.asked.product];
+  bool repeatable = product.effect == Effect::inquiry ||
+                    (product.effect == Effect::referenced && product.group == Group::all);
+  bool decline = now < txn.asked.expiry && (repeatable || !may_have_run(txn));
+  txn.over = true;
+  forget(id);
+  if (!decline) return Decision{.action = Action::give_up, .txn = id};
+  return Decision{.action = Action::decline, .txn = id};
+}
+
+std::optional<Decision> Txns::decide(int id, Txn& txn, Span now) {
+  const Product& product = settings_.products[txn.asked.product];
+  bool out = std::any_of(txn.submissions.begin(), txn.submissions.end(), [](auto& one) { return one.out; });
+  bool more = static_cast<int>(txn.submissions.size()) < settings_.max_submissions;
+  Span left = txn.asked.expiry - now;
+  if (out) {
+    // A second copy guards against a silent or slow node; it is paid for as waste, so copies are rationed.
+    if (!settings_.second_copies || product.effect == Effect::once_only || product.stream || !more) return {};
+    if (txn.submissions.size() > 1) return {};
+    Span due = txn.submissions.back().sent +
+               from_millis(std::max(nodes_.usual_ms(txn.asked.product, 0.95), 0.35 * millis(product.sla)));
+    if (now < due) {
+      look(id, txn, due);
+      return {};
+    }
+    int copies = 0;
+    for (std::size_t i = 0; i < copies_.size(); ++i) copies += copies_.back(i);
+    if (copies >= copies_most || millis(left) < nodes_.usual_ms(txn.asked.product, 0.5)) return {};
+    int node = place(txn, now);
+    return node < 0 ? std::nullopt : submit(id, txn, node, now);
+  }
+  if (left <= 2 * settings_.tick) return finish(id, txn, now);
+  bool worth_it = txn.submissions.empty() || millis(left) > 0.5 * nodes_.usual_ms(txn.asked.product, 0.5);
+  if (!more || !worth_it) return finish(id, txn, now);
+  int node = place(txn, now);
+  if (node >= 0) return submit(id, txn, node, now);
+  // Nowhere to go now: wait a little where a cold node's or the trial's allowance may open again.
+  bool may_help = false;
+  for (int n = 0; n < static_cast<int>(nodes_.all().size()) && !may_help; ++n)
+    may_help = nodes_.open(n) && may_go(txn, n, now);
+  if (!may_help || now - txn.taken > product.sla / 4) return finish(id, txn, now);
+  look(id, txn, now + hold_step);
+  return {};
+}
+
+// Umpire
+namespace {
+constexpr Span judge_every = 50ms, look_every = 100ms;
+}
+
+Umpire::Umpire(unsigned salt, const NodeSettings& nodes, const ExposureSettings& exposure,
+               const GateSettings& gate, const TxnSettings& txns)
+    : chance_(salt),
+      nodes_(nodes, txns.products),
+      exposure_(exposure, static_cast<int>(txns.products.size()), txns.tick),
+      trial_(gate, static_cast<int>(txns.products.size()), nodes.cold_for),
+      ballot_(gate),
+      txns_(txns, nodes_, exposure_, trial_, chance_) {}
+
+void Umpire::list_news(ListNews kind, const std::vector<NodeNews>& entries, Span now) {
+  nodes_.news(kind, entries, now);
+}
+
+void Umpire::txn_arrived(const Arrival& txn, Span now) {
+  exposure_.taken(txn.product, now);
+  txns_.arrived(txn, now);
+}
+
+void Umpire::stream_began(int txn) { txns_.streaming(txn); }
+void Umpire::txn_left(int txn) { txns_.left(txn); }
+
+void Umpire::submission_ended(int id, int index, Outcome outcome, bool settled, const Load& load, Span now) {
+  const Txn* txn = txns_.find(id);
+  if (!txn || index >= static_cast<int>(txn->submissions.size())) return;
+  const Submission one = txn->submissions[index];
+  const Arrival asked = txn->asked;
+  Span took = now - one.sent;
+  nodes_.ended(one, outcome, asked, now);
+  nodes_.report(one.node, load);
+  const Node& node = nodes_.all()[one.node];
+  // A machine that stops answering swallows many submissions; they count as one failure of the build.
+  bool counts = outcome == Outcome::ok || outcome == Outcome::error || (lost(outcome) && node.dead_run <= 1);
+  if (counts && node.build == one.build) {
+    bool warm = nodes_.warmth(one.node, one.sent) >= 1;
+    trial_.noted(one.build, {now, one.node, asked.product, outcome != Outcome::ok, warm,
+                             nodes_.ratio(asked.product, took, asked.hint_ms),
+                             nodes_.sla_part(asked.product, took)});
+    if (outcome == Outcome::ok && warm && !trial_.watched(one.build))
+      nodes_.learn(asked.product, took, asked.hint_ms);
+  }
+  if (outcome == Outcome::ok) {
+    trial_.settled(one.build);
+    exposure_.answered(asked.key, one.build);
+  }
+  txns_.ended(id, index, outcome, settled, now);
+}
+
+void Umpire::release_news(const RelNews& rel, Span now) {
+  exposure_.news(rel);
+  trial_.news(rel, now);
+  ballot_.news(rel);
+}
+
+void Umpire::vote_answered(Outcome outcome, Span now) { ballot_.answered(outcome, now); }
+void Umpire::tally_news(const Tally&) {}
+void Umpire::answer_flagged(int node, Span) { trial_.flagged(nodes_.all()[node].build); }
+void Umpire::probe_ended(int node, Outcome, const Load& load, Span) { nodes_.report(node, load); }
+
+std::optional<Decision> Umpire::next(Span now) {
+  if (now >= judged_at_ + judge_every) {
+    judged_at_ = now;
+    Finding found = trial_.judge(nodes_.all(), exposure_.taken_per_s(now) * txns_.trial_share(now), now);
+    ballot_.wants(found.verdict, now, chance_);
+    const char* words[] = {"watching", "on", "hold", "back"};
+    std::string mode = words[static_cast<int>(found.verdict)];
+    if (const auto& rel = trial_.rel()) {
+      const char* phases[] = {"trial", "going back", "released", "withdrawn"};
+      mode += " build " + std::to_string(rel->build) + " stage " + std::to_string(rel->stage) + " " +
+              phases[static_cast<int>(rel->phase)];
+    }
+    if (mode != mode_) log_.push_back(mode + (found.why.empty() ? "" : ": " + found.why));
+    mode_ = mode;
+  }
+  if (!log_.empty()) {
+    Decision decision{.action = Action::log, .text = log_.front()};
+    log_.pop_front();
+    return decision;
+  }
+  if (auto decision = nodes_.next(now, chance_)) return decision;
+  if (auto decision = ballot_.next(now, chance_)) return decision;
+  if (auto decision = txns_.next(now)) return decision;
+  Span due = now + look_every;
+  if (auto look = txns_.next_look()) due = std::min(due, *look);
+  if (wake_at_ > now && wake_at_ <= due) return {};
+  wake_at_ = std::max(due, now + Span(1));
+  return Decision{.action = Action::wake, .span = wake_at_ - now};
+}
+
+}  // namespace robinhoist
--- /dev/null
+++ b/src/logic.h
@@ -0,0 +1,207 @@
+// The interface of the decision module. One Umpire is one instance. Tell it what happens through the input
+// functions, which only note what is known; then call next(now) until it returns nothing and carry out each
+// decision it hands over. Everything it decides is in logic.cpp; its parts are declared here.
+#pragma once
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+#include <unordered_map>
+
+#include "state.h"
+
+namespace robinhoist {
+
+using Chance = std::minstd_rand;
+
+// The list of nodes: health, warmth and drains.
+class Nodes {
+ public:
+  Nodes(const NodeSettings& settings, const std::vector<Product>& products);
+  void news(ListNews kind, const std::vector<NodeNews>& entries, Span now);
+  void sent(int node, Span now);
+  void ended(const Submission& submission, Outcome outcome, const Arrival& txn, Span now);
+  void learn(int product, Span took, double hint_ms);
+  void report(int node, const Load& load);
+  double ratio(int product, Span took, double hint_ms);
+  double sla_part(int product, Span took) const;
+  double usual_ms(int product, double part);
+  bool open(int node) const;
+  bool has_room(int node, Span now);
+  bool well(int node, Span now);
+  double warmth(int node, Span now) const;
+  double cost(int node, Span now);
+  int choose(const std::function<bool(int)>& may, bool careful, Span now, Chance& chance);
+  std::optional<Decision> next(Span now, Chance& chance);
+  const std::vector<Node>& all() const { return nodes_; }
+
+ private:
+  int better_of_two(const std::vector<int>& among, Span now, Chance& chance);
+  Span patience();
+
+  NodeSettings settings_;
+  std::vector<Product> products_;
+  std::vector<Node> nodes_{};
+  std::vector<Samples<Took>> took_{};
+  std::vector<std::vector<double>> sorted_{};
+  std::vector<int> unsorted_{};
+  std::deque<Span> settled_{};
+  double fair_ = 0;
+  bool asked_ = false;
+  Span ask_at_{}, ask_pause_{};
+};
+
+// What may be sent to a release on trial.
+class Exposure {
+ public:
+  Exposure(const ExposureSettings& settings, int products, Span tick);
+  void news(const RelNews& rel);
+  void taken(int product, Span now);
+  void sent(int product, Span now);
+  void answered(const std::string& key, int build);
+  bool on_trial(int build) const;
+  double cap(int build) const;
+  bool allows(const Arrival& txn, int build, Effect effect, Span now);
+  double taken_per_s(Span now);
+  bool in_place() const { return settings_.in_place; }
+
+ private:
+  struct Count {
+    std::deque<Span> taken{}, sent{};
+  };
+  Count& count(int product);
+  void trim(Count& count, Span now) const;
+
+  ExposureSettings settings_;
+  Span tick_;
+  std::vector<Count> counts_;
+  std::optional<RelNews> rel_{};
+  std::unordered_map<std::string, int> moved_keys_{};
+};
+
+// Per-stage evidence on the release on trial, and the verdict drawn from it.
+class Trial {
+ public:
+  Trial(const GateSettings& settings, int products, Span cold_for);
+  void news(const RelNews& rel, Span now);
+  void noted(int build, const Sample& sample);
+  void settled(int build);
+  void flagged(int build);
+  bool watched(int build) const;
+  // A build once condemned stays so.
+  Finding judge(const std::vector<Node>& nodes, double trial_per_s, Span now);
+  const std::optional<RelNews>& rel() const { return rel_; }
+
+ private:
+  struct Counts {
+    double n = 0, failed = 0, timed = 0, sum = 0, squares = 0;
+  };
+  struct Arm {
+    std::map<int, Counts> by_node{};
+    std::vector<Counts> by_product{};
+    Counts all{};
+    std::vector<double> sla_parts{};
+  };
+  void tally(Arm& arm, const Samples<Sample>& samples, Span from, const std::function<bool(int)>& skip) const;
+
+  GateSettings settings_;
+  int products_;
+  Span cold_for_;
+  std::optional<RelNews> rel_{};
+  bool seen_on_trial_ = false;
+  Finding condemned_{};
+  Span stage_at_{}, held_from_ = long_ago;
+  Samples<Sample> fresh_, older_;
+  std::map<int, std::pair<double, double>> answers_{};  // by build: answers passed on, and found wrong
+};
+
+// This umpire's standing vote.
+class Ballot {
+ public:
+  explicit Ballot(const GateSettings& settings);
+  void news(const RelNews& rel);
+  void wants(Verdict verdict, Span now, Chance& chance);
+  void answered(Outcome outcome, Span now);
+  std::optional<Decision> next(Span now, Chance& chance);
+
+ private:
+  GateSettings settings_;
+  int build_ = -1, stage_ = -1;
+  RelPhase phase_ = RelPhase::released;
+  Verdict want_ = Verdict::none, stands_ = Verdict::none, asked_ = Verdict::none;
+  Span stands_until_ = long_ago, asked_at_ = long_ago, draw_at_{}, retry_at_ = long_ago;
+  bool waiting_ = false;
+};
+
+// Txns: submissions, repeats, time-outs, declines and final answers.
+class Txns {
+ public:
+  Txns(const TxnSettings& settings, Nodes& nodes, Exposure& exposure, Trial& trial, Chance& chance);
+  void arrived(const Arrival& txn, Span now);
+  void streaming(int txn);
+  void ended(int txn, int submission, Outcome outcome, bool settled, Span now);
+  void left(int txn);
+  bool knows(int txn) const { return txns_.count(txn) > 0; }
+  const Txn* find(int txn) const;
+  std::optional<Decision> next(Span now);
+  std::optional<Span> next_look() const;
+  double trial_share(Span now);
+
+ private:
+  std::optional<Decision> decide(int id, Txn& txn, Span now);
+  std::optional<Decision> submit(int id, Txn& txn, int node, Span now);
+  std::optional<Decision> finish(int id, Txn& txn, Span now);
+  int place(const Txn& txn, Span now);
+  bool may_go(const Txn& txn, int node, Span now) const;
+  bool may_have_run(const Txn& txn) const;
+  void look(int id, Txn& txn, Span at);
+  void forget(int id);
+
+  TxnSettings settings_;
+  Nodes& nodes_;
+  Exposure& exposure_;
+  Trial& trial_;
+  Chance& chance_;
+  std::unordered_map<int, Txn> txns_{};
+  std::deque<int> ready_{};
+  std::deque<std::pair<int, int>> cancels_{};
+  std::priority_queue<std::pair<Span, int>, std::vector<std::pair<Span, int>>, std::greater<>> looks_{};
+  Samples<char> copies_;
+};
+
+class Umpire {
+ public:
+  Umpire(unsigned salt, const NodeSettings& nodes, const ExposureSettings& exposure, const GateSettings& gate,
+         const TxnSettings& txns);
+  Umpire(const Umpire&) = delete;
+  Umpire& operator=(const Umpire&) = delete;
+
+  void list_news(ListNews kind, const std::vector<NodeNews>& entries, Span now);
+  void txn_arrived(const Arrival& txn, Span now);
+  void stream_began(int txn);
+  void submission_ended(int txn, int submission, Outcome outcome, bool settled, const Load& load, Span now);
+  void txn_left(int txn);
+  void release_news(const RelNews& rel, Span now);
+  void vote_answered(Outcome outcome, Span now);
+  void tally_news(const Tally& tally);
+  void answer_flagged(int node, Span age);
+  void probe_ended(int node, Outcome outcome, const Load& load, Span now);
+
+  // The next decision, until there is none. Call again after each input and at each asked-for wake-up.
+  std::optional<Decision> next(Span now);
+  // Whether the txn still matters: false once it has ended and all its submissions have come back.
+  bool knows(int txn) const { return txns_.knows(txn); }
+
+ private:
+  Chance chance_;
+  Nodes nodes_;
+  Exposure exposure_;
+  Trial trial_;
+  Ballot ballot_;
+  Txns txns_;
+  Span judged_at_ = long_ago, wake_at_ = long_ago;
+  std::string mode_{};
+  std::deque<std::string> log_{};
+};
+
+}  // namespace robinhoist
--- /dev/null
+++ b/src/state.h
@@ -0,0 +1,173 @@
+// Plain types that the module, its host and its tests share. Nothing here decides.
+#pragma once
+#include <chrono>
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "samples.h"
+
+namespace robinhoist {
+
+using Span = std::chrono::microseconds;  // time since the start, or a length of time
+
+constexpr Span long_ago = std::chrono::hours(-1);
+
+enum class Effect { inquiry, referenced, once_only };
+enum class Group { all, zone, cell };
+enum class NodePhase { in, lame, out };
+enum class Outcome { ok, error, full, timeout, no_connection, reset, cancelled, moot, unknown };
+enum class Gate { first_vote, count, clock };
+enum class RelPhase { trial, going_back, released, withdrawn };
+enum class Verdict { none, on, hold, back };
+enum class ListNews { changes, whole, saved, failed };
+enum class Reports { none, answers, probes };
+
+struct Product {
+  Span sla, expiry, memory;
+  Effect effect;
+  Group group;
+  double revenue, late_share;
+  bool stream;
+};
+
+struct Tenant {
+  double share, allowance_per_s;
+};
+
+struct NodeSettings {
+  int zone;
+  Span cold_for, fall_window, ask_within, call_timeout;
+  double cold_from, fall_multiple;
+  bool must_ask, sized, probes;
+  Reports reports;
+};
+
+struct ExposureSettings {
+  Span window;
+  double free;
+  bool by_product, one_way, in_place;
+  int safe_only_stages;
+  std::vector<double> caps;
+};
+
+struct GateSettings {
+  Gate gate;
+  Span bake, step, vote_life, call_timeout;
+  double calls_per_s, flag_share;
+  int umpires, to_advance, to_hold, to_revert;
+};
+
+struct TxnSettings {
+  std::vector<Product> products;
+  std::vector<Tenant> tenants;
+  int max_submissions, umpires;
+  bool second_copies, cancelling, advice;
+  Span max_pause, slack, tick;
+  double over_share_revenue;
+};
+
+struct NodeNews {
+  int node, zone, cell, build;
+  NodePhase phase;
+  double size;
+  Span started;  // zero: long ago
+};
+
+struct RelNews {
+  int build, stage;
+  RelPhase phase;
+  double cap;
+  Span since;
+};
+
+// A load report; what it does not carry is absent.
+struct Load {
+  std::optional<double> held, waiting, busy, service_ms, served_ps, failed_ps;
+};
+
+struct Tally {
+  int build, product, sampled, bad;
+  double mean_ms;
+  Span age;
+};
+
+struct Arrival {
+  int txn, product, tenant;
+  Span expiry;
+  double hint_ms;  // zero: none came
+  std::string key;
+  bool repeat;
+};
+
+enum class Action { submit, decline, give_up, cancel, probe, close, subscribe, fetch, vote, wake, log };
+
+// One decision; which fields count follows from the action.
+struct Decision {
+  Action action;
+  int txn = -1;
+  int node = -1;
+  int submission = -1;
+  Span span{};  // time-out, advice when to come back, or time until the wake-up
+  int build = -1;
+  int stage = 0;
+  Verdict verdict = Verdict::none;
+  std::string text{};
+};
+
+struct Result {
+  Span at;
+  bool ok;
+  double ratio;  // latency over the product's usual one
+};
+
+struct Node {
+  bool listed = false;
+  NodePhase phase = NodePhase::out;
+  int zone = 0, cell = 0, build = 0;
+  double size = 1;
+  Span started{};
+  int dead_run = 0;  // submissions lost in a row without any reply
+  Span dead_at = long_ago, heard_at = long_ago, full_at = long_ago;
+  std::vector<Span> out{};    // when the submissions still out were sent
+  std::deque<Span> sends{};   // sends within the rule's window while cold
+  Samples<Result> results{0};
+  Load load{};
+};
+
+struct Submission {
+  int node, build;
+  Span sent;
+  bool trial;
+  bool out = true, never_ran = false;
+};
+
+struct Txn {
+  Arrival asked;
+  Span taken, look_at{};
+  std::vector<Submission> submissions{};
+  bool over = false, streaming = false;
+};
+
+// One judged submission of an arm.
+struct Sample {
+  Span at;
+  int node, product;
+  bool failed, warm;
+  double ratio, sla_part;  // latency over the product's usual one, and over its SLA time
+};
+
+// How long an answer took, as it is and for each millisecond of hinted work.
+struct Took {
+  double ms, per_hint;
+};
+
+// What is known of the release now offered, as judged from one arm's view.
+struct Finding {
+  Verdict verdict = Verdict::none;
+  bool judged = false;
+  std::string why{};
+};
+
+}  // namespace robinhoist
--- /dev/null
+++ b/tests/scenarios_test.cpp
@@ -0,0 +1,1 @@
+#include <gtest/gtest.h>
