--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -120,7 +120,9 @@
     node.full_at = now;
     return;
   }
-  node.results.push({now, outcome == Outcome::ok, ratio(txn.product, took, txn.hint_ms)});
+  // A late answer of a node that answers others is a matter of load, not of health.
+  bool well = outcome == Outcome::ok || (outcome == Outcome::timeout && node.heard_at >= submission.sent);
+  node.results.push({now, well, ratio(txn.product, took, txn.hint_ms), took, submission.in_hand});
   if (outcome != Outcome::ok) return;
   // What warm nodes carry, for the cold rule: answers in a window, for each warm node.
   settled_.push_back(now);
@@ -217,6 +219,22 @@
   return (node.out.size() + 1) * slow / (node.size * warmth(n, now));
 }
 
+// How long one more txn would take there: by Little's law, own txns in hand over the pace of late. Guards
+// against queues that no answer survives, whatever fills them: bursts, retries, slow or missing machines, a
+// build that needs more work. It may shed too early when few answers have been seen.
+Span Nodes::wait(int n, Span now) {
+  const Node& node = nodes_[n];
+  double took = 0, in_hand = 0;
+  for (std::size_t i = 0; i < node.results.size(); ++i) {
+    const Result& result = node.results.back(i);
+    if (result.at < now - result_life) break;
+    took += seconds(result.took);
+    in_hand += result.in_hand;
+  }
+  if (in_hand < results_kept / 4) return Span{};
+  return from_millis(1e3 * (node.out.size() + 1) * took / in_hand);
+}
+
 int Nodes::better_of_two(const std::vector<int>& among, Span now, Chance& chance) {
   if (among.empty()) return -1;
   int a = among[static_cast<std::size_t>(draw(chance) * among.size())];
@@ -227,16 +245,16 @@
 }
 
 // Two random choices among the well nodes of the own zone, or abroad where that is clearly better.
-int Nodes::choose(const std::function<bool(int)>& may, bool careful, Span now, Chance& chance) {
+int Nodes::choose(const std::function<bool(int)>& may, bool careful, Span longest, Span now, Chance& chance) {
   std::vector<int> near, far, poorly;
   for (int n = 0; n < static_cast<int>(nodes_.size()); ++n) {
-    if (!open(n) || !may(n) || !has_room(n, now)) continue;
+    if (!open(n) || !may(n) || !has_room(n, now) || wait(n, now) > longest) continue;
     if (!well(n, now) || (careful && nodes_[n].dead_run > 0))
       poorly.push_back(n);
     else
       (nodes_[n].zone == settings_.zone ? near : far).push_back(n);
   }
-  if (near.empty() && far.empty()) return better_of_two(poorly, now, chance);
+  if (poorly.size() > 2 * (near.size() + far.size())) return better_of_two(poorly, now, chance);
   int a = better_of_two(near, now, chance), b = better_of_two(far, now, chance);
   if (a < 0 || b < 0) return a < 0 ? b : a;
   return cost(a, now) > 1.3 * cost(b, now) + 1 ? b : a;
@@ -519,8 +537,9 @@
 namespace {
 constexpr double cap_used = 0.9;        // part of the cap that first attempts fill
 constexpr double most_load = 1.2;       // a trial machine's load against a usual machine's
-constexpr std::size_t copies_kept = 100;
-constexpr int copies_most = 10;         // of the last hundred txns sent, so many may have had a second copy
+constexpr std::size_t again_kept = 100;
+constexpr int copies_most = 8, again_most = 20;  // of the last hundred submissions, so many may be repeats
+constexpr double wait_least = 0.45, wait_more = 0.3;  // of the SLA time, by the txn's revenue
 constexpr Span hold_step = 25ms;
 }  // namespace
 
@@ -530,7 +549,7 @@
       exposure_(exposure),
       trial_(trial),
       chance_(chance),
-      copies_(copies_kept) {}
+      again_(again_kept) {}
 
 void Txns::arrived(const Arrival& asked, Span now) {
   txns_[asked.txn] = Txn{.asked = asked, .taken = now};
@@ -657,6 +676,26 @@
   return std::any_of(txn.submissions.begin(), txn.submissions.end(), [](auto& one) { return !one.never_ran; });
 }
 
+// Shedding by revenue: the less a txn brings, the shorter the queue that it may join; none may join one that
+// would make the txns of greater revenue late.
+Span Txns::longest_wait(const Txn& txn, Span now) const {
+  const Product& product = settings_.products[txn.asked.product];
+  double most = 0;
+  Span sla = product.sla;
+  for (const Product& other : settings_.products) {
+    most = std::max(most, other.revenue);
+    if (other.revenue >= product.revenue) sla = std::min(sla, other.sla);
+  }
+  double part = wait_least + wait_more * (most > 0 ? product.revenue / most : 1);
+  return std::min(from_millis(part * millis(sla)), txn.asked.expiry - now);
+}
+
+int Txns::again() const {
+  int again = 0;
+  for (std::size_t i = 0; i < again_.size(); ++i) again += again_.back(i);
+  return again;
+}
+
 int Txns::place(const Txn& txn, Span now) {
   const Product& product = settings_.products[txn.asked.product];
   int newest = -1;
@@ -672,7 +711,7 @@
         if (one.node == n && !one.never_ran) return false;
       return exposure_.allows(txn.asked, build, product.effect, now);
     };
-    int node = nodes_.choose(may, product.effect == Effect::once_only, now, chance_);
+    int node = nodes_.choose(may, product.effect == Effect::once_only, longest_wait(txn, now), now, chance_);
     if (node >= 0) return node;
   }
   return -1;
@@ -681,16 +720,17 @@
 std::optional<Decision> Txns::submit(int id, Txn& txn, int node, Span now) {
   int build = nodes_.all()[node].build;
   bool trial = exposure_.on_trial(build);
-  txn.submissions.push_back({.node = node, .build = build, .sent = now, .trial = trial});
+  txn.submissions.push_back({.node = node, .build = build, .sent = now,
+                             .in_hand = static_cast<int>(nodes_.all()[node].out.size()) + 1, .trial = trial});
   nodes_.sent(node, now);
   if (trial) exposure_.sent(txn.asked.product, now);
-  copies_.push(txn.submissions.size() > 1);
+  again_.push(txn.submissions.size() > 1);
   ready_.push_back(id);
   return Decision{.action = Action::submit, .txn = id, .node = node};
 }
 
 // Declining tells the client that it may safely come again, so it needs rule 2; else the txn is voided.
-std::optional<Decision> Txns::finish(int id, Txn& txn, Span now) {
+std::optional<Decision> Txns::finish(int id, Txn& txn, Span pause, Span now) {
   const Product& product = settings_.products[txn.asked.product];
   bool repeatable = product.effect == Effect::inquiry ||
                     (product.effect == Effect::referenced && product.group == Group::all);
@@ -698,7 +738,7 @@
   txn.over = true;
   forget(id);
   if (!decline) return Decision{.action = Action::give_up, .txn = id};
-  return Decision{.action = Action::decline, .txn = id};
+  return Decision{.action = Action::decline, .txn = id, .span = settings_.advice ? pause : Span{}};
 }
 
 std::optional<Decision> Txns::decide(int id, Txn& txn, Span now) {
@@ -716,22 +756,23 @@
       look(id, txn, due);
       return {};
     }
-    int copies = 0;
-    for (std::size_t i = 0; i < copies_.size(); ++i) copies += copies_.back(i);
-    if (copies >= copies_most || millis(left) < nodes_.usual_ms(txn.asked.product, 0.5)) return {};
+    if (again() >= copies_most || millis(left) < nodes_.usual_ms(txn.asked.product, 0.5)) return {};
     int node = place(txn, now);
     return node < 0 ? std::nullopt : submit(id, txn, node, now);
   }
-  if (left <= 2 * settings_.tick) return finish(id, txn, now);
-  bool worth_it = txn.submissions.empty() || millis(left) > 0.5 * nodes_.usual_ms(txn.asked.product, 0.5);
-  if (!more || !worth_it) return finish(id, txn, now);
+  if (left <= 2 * settings_.tick) return finish(id, txn, {}, now);
+  // Repeats are rationed: in an overload they would feed it.
+  bool worth_it = txn.submissions.empty() ||
+                  (again() < again_most && millis(left) > 0.5 * nodes_.usual_ms(txn.asked.product, 0.5));
+  if (!more || !worth_it) return finish(id, txn, settings_.max_pause, now);
   int node = place(txn, now);
   if (node >= 0) return submit(id, txn, node, now);
-  // Nowhere to go now: wait a little where a cold node's or the trial's allowance may open again.
+  // Nowhere to go now: wait a little where a cold node's or the trial's allowance may open again; where all
+  // queues are too long, the client hears at once and is told to stay away.
   bool may_help = false;
   for (int n = 0; n < static_cast<int>(nodes_.all().size()) && !may_help; ++n)
-    may_help = nodes_.open(n) && may_go(txn, n, now);
-  if (!may_help || now - txn.taken > product.sla / 4) return finish(id, txn, now);
+    may_help = nodes_.open(n) && may_go(txn, n, now) && nodes_.wait(n, now) <= longest_wait(txn, now);
+  if (!may_help || now - txn.taken > product.sla / 4) return finish(id, txn, settings_.max_pause, now);
   look(id, txn, now + hold_step);
   return {};
 }
--- a/src/logic.h
+++ b/src/logic.h
@@ -31,7 +31,8 @@
   bool well(int node, Span now);
   double warmth(int node, Span now) const;
   double cost(int node, Span now);
-  int choose(const std::function<bool(int)>& may, bool careful, Span now, Chance& chance);
+  Span wait(int node, Span now);
+  int choose(const std::function<bool(int)>& may, bool careful, Span longest, Span now, Chance& chance);
   std::optional<Decision> next(Span now, Chance& chance);
   const std::vector<Node>& all() const { return nodes_; }
 
@@ -150,8 +151,10 @@
  private:
   std::optional<Decision> decide(int id, Txn& txn, Span now);
   std::optional<Decision> submit(int id, Txn& txn, int node, Span now);
-  std::optional<Decision> finish(int id, Txn& txn, Span now);
+  std::optional<Decision> finish(int id, Txn& txn, Span pause, Span now);
   int place(const Txn& txn, Span now);
+  Span longest_wait(const Txn& txn, Span now) const;
+  int again() const;
   bool may_go(const Txn& txn, int node, Span now) const;
   bool may_have_run(const Txn& txn) const;
   void look(int id, Txn& txn, Span at);
@@ -166,7 +169,7 @@
   std::deque<int> ready_{};
   std::deque<std::pair<int, int>> cancels_{};
   std::priority_queue<std::pair<Span, int>, std::vector<std::pair<Span, int>>, std::greater<>> looks_{};
-  Samples<char> copies_;
+  Samples<char> again_;
 };
 
 class Umpire {
--- a/src/state.h
+++ b/src/state.h
@@ -119,7 +119,9 @@
 struct Result {
   Span at;
   bool ok;
-  double ratio;  // latency over the product's usual one
+  double ratio;     // latency over the product's usual one
+  Span took;
+  int in_hand;  // own txns that the node held when this one was sent, itself included
 };
 
 struct Node {
@@ -139,6 +141,7 @@
 struct Submission {
   int node, build;
   Span sent;
+  int in_hand;
   bool trial;
   bool out = true, never_ran = false;
 };
