Judge slowness by machines, and lost answers beside the older build only

Cause: good builds were sent back for the load their few machines carried and for time-outs of cut links, cold machines and overload.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -339,6 +339,7 @@
 constexpr Span least_window = 4s;         // from the latest start in the stage
 constexpr double failure_threshold = 0.03;
 constexpr double beyond_chance = 0.001;   // how unlikely failures must be before they count as the build's
+constexpr double machine_spread = 0.22;   // of the logarithm of a machine's latency, load included
 constexpr Span hold_most = 4s;            // a stage is held up no longer than this for want of evidence
 }  // namespace
 
@@ -382,6 +383,7 @@
     for (Counts* counts : {&arm.by_node[sample.node], &arm.by_product[sample.product], &arm.all}) {
       counts->n += 1;
       counts->failed += sample.failed;
+      counts->lost += sample.lost;
       if (!sample.warm) continue;
       counts->timed += 1;
       counts->sum += log_ratio;
@@ -398,6 +400,7 @@
   auto none = [](int) { return false; };
   Arm old, young;
   tally(old, older_, stage_at_, none);
+  double old_now = old.all.n;
   if (old.all.n < 2 * least_submissions) {
     old = {};
     tally(old, older_, long_ago, none);
@@ -422,11 +425,15 @@
 
   // Failures: over the threshold, and more than the older build's rate and chance explain.
   bool doubtful = false;
+  // What got no answer counts only beside the older build's at the same time: overload and cut links lose
+  // answers of good builds too.
+  bool beside = old_now >= 2 * least_submissions;
   auto failing = [&](const Counts& c, const Counts& base) {
-    double usual = std::max(0.01, (base.failed + 0.5) / (base.n + 25));
-    double luck = tail(c.failed, usual * c.n);
-    doubtful |= c.failed >= 2 && luck < 0.03;
-    return c.n >= least_submissions && c.failed >= 3 && c.failed > failure_threshold * c.n && luck < beyond_chance;
+    double failed = c.failed + beside * c.lost;
+    double usual = std::max(0.01, (base.failed + beside * base.lost + 0.5) / (base.n + 25));
+    double luck = tail(failed, usual * c.n);
+    doubtful |= failed >= 2 && luck < 0.03;
+    return c.n >= least_submissions && failed >= 3 && failed > failure_threshold * c.n && luck < beyond_chance;
   };
   if (failing(young.all, old.all))
     return condemned_ = {Verdict::back, true, figures("failures", young.all.failed / young.all.n, old.all.failed / old.all.n)};
@@ -449,7 +456,7 @@
 
   // Slowness, on warm machines only: the p99 against its ceiling, the SLA time, then the whole distribution
   // against the older build's, which sees it long before a p99 of a few answers can.
-  if (young.all.timed >= 20 && old.all.timed >= 20 && rel_->phase == RelPhase::trial) {
+  if (young.all.timed >= 20 && old_now >= 20 && old.all.timed >= 20 && rel_->phase == RelPhase::trial) {
     auto p99 = [](std::vector<double>& parts) {
       auto at = parts.begin() + static_cast<long>(0.99 * (parts.size() - 1));
       std::nth_element(parts.begin(), at, parts.end());
@@ -461,9 +468,11 @@
     auto mean = [](const Counts& c) { return c.sum / c.timed; };
     auto spread = [&](const Counts& c) { return std::max(0.0, c.squares / c.timed - mean(c) * mean(c)) / c.timed; };
     double apart = mean(young.all) - mean(old.all);
-    double error = std::sqrt(spread(young.all) + spread(old.all));
-    doubtful |= apart > 0.3 && apart > 2 * error;
-    if (apart > 0.36 && apart - 2.5 * error > 0.15)
+    // Machines differ among themselves: few machines tell little, however many answers they gave.
+    double machines = machine_spread * machine_spread * (1.0 / young.by_node.size() + 1.0 / old.by_node.size());
+    double error = std::sqrt(spread(young.all) + spread(old.all) + machines);
+    doubtful |= apart > 0.3 && apart > 1.7 * error;
+    if (apart > 0.36 && apart - 2 * error > 0.1)
       return condemned_ = {Verdict::back, true, figures("times the older's latency", std::exp(apart), std::exp(error))};
   }
 
@@ -536,7 +545,7 @@
 // Txns
 namespace {
 constexpr double cap_used = 0.9;        // part of the cap that first attempts fill
-constexpr double most_load = 1.2;       // a trial machine's load against a usual machine's
+constexpr double most_load = 1.0;       // a trial machine's load against a usual machine's
 constexpr std::size_t again_kept = 100;
 constexpr int copies_most = 8, again_most = 20;  // of the last hundred submissions, so many may be repeats
 constexpr double wait_least = 0.45, wait_more = 0.3;  // of the SLA time, by the txn's revenue
@@ -813,10 +822,12 @@
   nodes_.report(one.node, load);
   const Node& node = nodes_.all()[one.node];
   // A machine that stops answering swallows many submissions; they count as one failure of the build.
-  bool counts = outcome == Outcome::ok || outcome == Outcome::error || (lost(outcome) && node.dead_run <= 1);
+  // A cold machine's late answers tell nothing.
+  bool warm = nodes_.warmth(one.node, one.sent) >= 1;
+  bool counts = outcome == Outcome::ok || outcome == Outcome::error ||
+                (lost(outcome) && node.dead_run <= 1 && warm);
   if (counts && node.build == one.build) {
-    bool warm = nodes_.warmth(one.node, one.sent) >= 1;
-    trial_.noted(one.build, {now, one.node, asked.product, outcome != Outcome::ok, warm,
+    trial_.noted(one.build, {now, one.node, asked.product, outcome == Outcome::error, lost(outcome), warm,
                              nodes_.ratio(asked.product, took, asked.hint_ms),
                              nodes_.sla_part(asked.product, took)});
     if (outcome == Outcome::ok && warm && !trial_.watched(one.build))
--- a/src/logic.h
+++ b/src/logic.h
@@ -95,7 +95,7 @@
 
  private:
   struct Counts {
-    double n = 0, failed = 0, timed = 0, sum = 0, squares = 0;
+    double n = 0, failed = 0, lost = 0, timed = 0, sum = 0, squares = 0;
   };
   struct Arm {
     std::map<int, Counts> by_node{};
--- a/src/state.h
+++ b/src/state.h
@@ -157,7 +157,7 @@
 struct Sample {
   Span at;
   int node, product;
-  bool failed, warm;
+  bool failed, lost, warm;
   double ratio, sla_part;  // latency over the product's usual one, and over its SLA time
 };
 
