Hold later and shorter, remember poorly older machines, let p99 need the middle

Cause: holds started well before the step's end; a trial machine struck like an older one was read as the build; a p99 of one cold or crashed machine sent a good build back.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -340,6 +340,8 @@
 constexpr double failure_threshold = 0.03;
 constexpr double beyond_chance = 0.001;   // how unlikely failures must be before they count as the build's
 constexpr double machine_spread = 0.22;   // of the logarithm of a machine's latency, load included
+constexpr Span clock_lag = 500ms;         // a step is near its end so long after latest start and step time
+constexpr Span poorly_memory = 10s;       // machines of the older build that were poorly so lately
 constexpr Span hold_most = 4s;            // a stage is held up no longer than this for want of evidence
 }  // namespace
 
@@ -411,13 +413,15 @@
   // a small part of the trial's machines may be poorly too and is left out. It hurts where a bad build and
   // machine trouble meet, until more machines of the build run.
   auto poorly = [](const Counts& c) {
-    return (c.n >= 5 && c.failed >= 0.25 * c.n) || (c.timed >= 5 && c.sum >= std::log(1.8) * c.timed);
+    return (c.n >= 5 && c.failed >= 2 && c.failed >= 0.12 * c.n) || (c.timed >= 5 && c.sum >= std::log(1.8) * c.timed);
   };
   auto poorly_in = [&](const Arm& arm) {
     return std::count_if(arm.by_node.begin(), arm.by_node.end(), [&](auto& c) { return poorly(c.second); });
   };
   auto most_left_out = std::max<long>(1, static_cast<long>(young.by_node.size() / 5));
-  if (poorly_in(old) > 0 && poorly_in(young) <= most_left_out) {
+  Arm lately;
+  tally(lately, older_, now - poorly_memory, none);
+  if (poorly_in(lately) > 0 && poorly_in(young) <= most_left_out) {
     std::map<int, Counts> by_node = young.by_node;
     young = {};
     tally(young, fresh_, stage_at_, [&](int n) { return poorly(by_node[n]); });
@@ -463,14 +467,15 @@
       return *at;
     };
     double young_p99 = p99(young.sla_parts), old_p99 = p99(old.sla_parts);
-    if (young.all.timed >= 100 && young_p99 > 1 && young_p99 > 2 * old_p99)
-      return condemned_ = {Verdict::back, true, figures("p99 in SLA times", young_p99, old_p99)};
-    auto mean = [](const Counts& c) { return c.sum / c.timed; };
+        auto mean = [](const Counts& c) { return c.sum / c.timed; };
     auto spread = [&](const Counts& c) { return std::max(0.0, c.squares / c.timed - mean(c) * mean(c)) / c.timed; };
     double apart = mean(young.all) - mean(old.all);
     // Machines differ among themselves: few machines tell little, however many answers they gave.
     double machines = machine_spread * machine_spread * (1.0 / young.by_node.size() + 1.0 / old.by_node.size());
     double error = std::sqrt(spread(young.all) + spread(old.all) + machines);
+    // A p99 of so few answers is one machine's bad second; the middle must have moved too.
+    if (young.all.timed >= 100 && young_p99 > 1 && young_p99 > 2 * old_p99 && apart > 0.36)
+      return condemned_ = {Verdict::back, true, figures("p99 in SLA times", young_p99, old_p99)};
     doubtful |= apart > 0.3 && apart > 1.7 * error;
     if (apart > 0.36 && apart - 2 * error > 0.1)
       return condemned_ = {Verdict::back, true, figures("times the older's latency", std::exp(apart), std::exp(error))};
@@ -487,8 +492,8 @@
   }
   // An umpire too quiet to reach the minimum soon does not hold the others up.
   double lacking = least_submissions - young.all.n;
-  bool soon = lacking <= 0 || lacking < 3 * trial_per_s;
-  bool near_end = now >= latest + settings_.step - 300ms;
+  bool soon = lacking <= 0 || lacking < 1.5 * trial_per_s;
+  bool near_end = now >= latest + settings_.step + clock_lag;
   if (near_end && ((lacking > 0 && soon) || doubtful)) {
     if (held_from_ == long_ago) held_from_ = now;
     if (now < held_from_ + hold_most) return {Verdict::hold, false, figures("held at", young.all.n, young.all.failed)};
