--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -437,7 +437,10 @@
     double usual = std::max(0.01, (base.failed + beside * base.lost + 0.5) / (base.n + 25));
     double luck = tail(failed, usual * c.n);
     doubtful |= failed >= 2 && luck < 0.03;
-    return c.n >= least_submissions && failed >= 3 && failed > failure_threshold * c.n && luck < beyond_chance;
+    // Before the minimum count only failures far beyond chance speak: a build that fails all is soon left
+    // alone by the routing and would never reach it.
+    double chance = c.n >= least_submissions ? beyond_chance : beyond_chance / 10;
+    return failed >= 3 && failed > failure_threshold * c.n && luck < chance;
   };
   if (failing(young.all, old.all))
     return condemned_ = {Verdict::back, true, figures("failures", young.all.failed / young.all.n, old.all.failed / old.all.n)};
