Judge slowness only after the window and beside enough older machines

Cause: three incidents (one on each deployment) sent a good build back for latency right after a stage began, when its warm machines carried the load of cold ones.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -461,9 +461,21 @@
   doubtful |= wrong >= 1 && luck < 0.15;
   if (wrong >= 2 && luck < 0.004) return condemned_ = {Verdict::back, true, figures("wrong answers", wrong, given)};
 
+  Span latest = stage_at_;
+  int young_nodes = 0, old_nodes = 0;
+  for (const Node& node : nodes) {
+    if (!node.listed || node.phase == NodePhase::out) continue;
+    if (node.build == rel_->build) latest = std::max(latest, node.started);
+    young_nodes += node.build == rel_->build;
+    old_nodes += node.build < rel_->build && node.phase == NodePhase::in;
+  }
+  bool window = now >= latest + std::max(least_window, settings_.bake);
+  bool judged = young.all.n >= least_submissions && window;
+
   // Slowness, on warm machines only: the p99 against its ceiling, the SLA time, then the whole distribution
-  // against the older build's, which sees it long before a p99 of a few answers can.
-  if (young.all.timed >= 20 && old_now >= 20 && old.all.timed >= 20 && rel_->phase == RelPhase::trial) {
+  // against the older build's, which sees it long before a p99 of a few answers can. Both need machines of the
+  // older build under the usual load: while a fleet is swapped in place the rest of it says nothing.
+  if (window && 2 * old_nodes >= young_nodes && young.all.timed >= 20 && old_now >= 20 && old.all.timed >= 20 && rel_->phase == RelPhase::trial) {
     auto p99 = [](std::vector<double>& parts) {
       auto at = parts.begin() + static_cast<long>(0.99 * (parts.size() - 1));
       std::nth_element(parts.begin(), at, parts.end());
@@ -484,10 +496,6 @@
       return condemned_ = {Verdict::back, true, figures("times the older's latency", std::exp(apart), std::exp(error))};
   }
 
-  Span latest = stage_at_;
-  for (const Node& node : nodes)
-    if (node.listed && node.build == rel_->build) latest = std::max(latest, node.started);
-  bool judged = young.all.n >= least_submissions && now >= latest + std::max(least_window, settings_.bake);
   if (rel_->phase == RelPhase::released) return {Verdict::none, judged, "released"};
   if (settings_.gate != Gate::clock) {
     if (judged && !doubtful) return {Verdict::on, true, figures("failures", young.all.failed, young.all.n)};
