Shorter holds, rarer doubts; wrong answers must be a share, not only a count

Cause: many quiet umpires held each stage in turn; six reports in 2,110 answers sent a good build back.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -342,6 +342,7 @@
 constexpr double machine_spread = 0.22;   // of the logarithm of a machine's latency, load included
 constexpr Span clock_lag = 500ms;         // a step is near its end so long after latest start and step time
 constexpr Span poorly_memory = 10s;       // machines of the older build that were poorly so lately
+constexpr Span hold_few = 1500ms;
 constexpr Span hold_most = 4s;            // a stage is held up no longer than this for want of evidence
 }  // namespace
 
@@ -458,8 +459,10 @@
     old_wrong += counts.second;
   }
   double luck = tail(wrong, given * (old_wrong + 1) / (old_given + 250));
-  doubtful |= wrong >= 1 && luck < 0.15;
-  if (wrong >= 2 && luck < 0.004) return condemned_ = {Verdict::back, true, figures("wrong answers", wrong, given)};
+  doubtful |= wrong >= 1 && luck < 0.1;
+  bool many = wrong > 0.5 * failure_threshold * settings_.flag_share * given;
+  if (wrong >= 2 && many && luck < 0.004)
+    return condemned_ = {Verdict::back, true, figures("wrong answers", wrong, given)};
 
   Span latest = stage_at_;
   int young_nodes = 0, old_nodes = 0;
@@ -491,8 +494,8 @@
     // A p99 of so few answers is one machine's bad second; the middle must have moved too.
     if (young.all.timed >= 100 && young_p99 > 1 && young_p99 > 2 * old_p99 && apart > 0.36)
       return condemned_ = {Verdict::back, true, figures("p99 in SLA times", young_p99, old_p99)};
-    doubtful |= apart > 0.3 && apart > 1.7 * error;
-    if (apart > 0.36 && apart - 2 * error > 0.1)
+    doubtful |= apart > 0.4 && apart > 1.7 * error;
+    if (apart > 0.42 && apart - 2 * error > 0.18)
       return condemned_ = {Verdict::back, true, figures("times the older's latency", std::exp(apart), std::exp(error))};
   }
 
@@ -503,11 +506,11 @@
   }
   // An umpire too quiet to reach the minimum soon does not hold the others up.
   double lacking = least_submissions - young.all.n;
-  bool soon = lacking <= 0 || lacking < 1.5 * trial_per_s;
+  bool soon = lacking <= 0 || lacking < trial_per_s;
   bool near_end = now >= latest + settings_.step + clock_lag;
   if (near_end && ((lacking > 0 && soon) || doubtful)) {
     if (held_from_ == long_ago) held_from_ = now;
-    if (now < held_from_ + hold_most) return {Verdict::hold, false, figures("held at", young.all.n, young.all.failed)};
+    if (now < held_from_ + (doubtful ? hold_most : hold_few)) return {Verdict::hold, false, figures("held at", young.all.n, young.all.failed)};
   }
   return {Verdict::none, judged, figures("failures", young.all.failed, young.all.n)};
 }
