--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -45,7 +45,7 @@
 constexpr Span first_bench = 500ms;      // a node that lost two in a row rests so long, then doubling
 constexpr Span failing_rest = 2s;        // a failing node is tried again after so long without a failure
 constexpr Span full_rest = 100ms;        // a node that turned work away
-constexpr double cold_margin = 0.6;      // part of what the cold rule allows that is used
+constexpr double cold_margin = 0.7;      // part of what the cold rule allows that is used
 constexpr Span ask_pause_least = 400ms, ask_pause_most = 3s;
 }  // namespace
 
@@ -176,19 +176,23 @@
   Node& node = nodes_[n];
   if (warmth(n, now) >= 1) return true;
   while (!node.sends.empty() && node.sends.front() < now - settings_.fall_window) node.sends.pop_front();
-  double then = warmth(n, std::max(node.started, now - settings_.fall_window));
+  double then = warmth(n, std::max(node.started, now - settings_.fall_window / 2));
   double most = cold_margin * settings_.fall_multiple * then * fair_ * node.size;
   return node.sends.size() < std::max(1.0, most);
 }
 
+// A node that lost two in a row, without a word between, rests; then one txn at a time tries it.
+bool Nodes::resting(int n, Span now) const {
+  const Node& node = nodes_[n];
+  if (node.dead_run < 2) return false;
+  Span rest = first_bench * (1 << std::min(node.dead_run - 2, 3));
+  return now < node.dead_at + rest || !node.out.empty();
+}
+
 // Guards against nodes that swallow, fail or turn away work, whatever the cause. It hurts when all nodes
 // are poorly: then choose() falls back on the least bad.
 bool Nodes::well(int n, Span now) {
   Node& node = nodes_[n];
-  if (node.dead_run >= 2) {
-    Span rest = first_bench * (1 << std::min(node.dead_run - 2, 3));
-    return now >= node.dead_at + rest && node.out.empty();
-  }
   if (now < node.full_at + full_rest) return false;
   if (!node.out.empty() && node.heard_at < node.out.front() && now - node.out.front() > patience()) return false;
   int failed = 0, seen = 0;
@@ -247,14 +251,17 @@
 // Two random choices among the well nodes of the own zone, or abroad where that is clearly better.
 int Nodes::choose(const std::function<bool(int)>& may, bool careful, Span longest, Span now, Chance& chance) {
   std::vector<int> near, far, poorly;
+  std::size_t busy = 0;
   for (int n = 0; n < static_cast<int>(nodes_.size()); ++n) {
-    if (!open(n) || !may(n) || !has_room(n, now) || wait(n, now) > longest) continue;
+    if (!open(n) || !may(n) || !has_room(n, now) || resting(n, now)) continue;
     if (!well(n, now) || (careful && nodes_[n].dead_run > 0))
       poorly.push_back(n);
+    else if (wait(n, now) > longest)
+      ++busy;
     else
       (nodes_[n].zone == settings_.zone ? near : far).push_back(n);
   }
-  if (poorly.size() > 2 * (near.size() + far.size())) return better_of_two(poorly, now, chance);
+  if (poorly.size() > 2 * (near.size() + far.size() + busy)) return better_of_two(poorly, now, chance);
   int a = better_of_two(near, now, chance), b = better_of_two(far, now, chance);
   if (a < 0 || b < 0) return a < 0 ? b : a;
   return cost(a, now) > 1.3 * cost(b, now) + 1 ? b : a;
@@ -677,7 +684,7 @@
     all += nodes[n].size;
     if (nodes[n].build != newest)
       old += nodes[n].size;
-    else if (nodes_.well(n, now))
+    else if (!nodes_.resting(n, now) && nodes_.well(n, now))
       young += nodes[n].size * nodes_.warmth(n, now);
   }
   if (old == 0) return 1;
--- a/src/logic.h
+++ b/src/logic.h
@@ -28,6 +28,7 @@
   double usual_ms(int product, double part);
   bool open(int node) const;
   bool has_room(int node, Span now);
+  bool resting(int node, Span now) const;
   bool well(int node, Span now);
   double warmth(int node, Span now) const;
   double cost(int node, Span now);
