--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -349,7 +349,7 @@
 constexpr double machine_spread = 0.22;   // of the logarithm of a machine's latency, load included
 constexpr Span clock_lag = 500ms;         // a step is near its end so long after latest start and step time
 constexpr Span poorly_memory = 10s;       // machines of the older build that were poorly so lately
-constexpr Span hold_few = 1500ms;
+constexpr Span hold_few = 1s;             // or so long when figures are merely few
 constexpr Span hold_most = 4s;            // a stage is held up no longer than this for want of evidence
 }  // namespace
 
@@ -451,11 +451,12 @@
     return failed >= 3 && failed > failure_threshold * c.n && luck < chance;
   };
   if (failing(young.all, old.all))
-    return condemned_ = {Verdict::back, true, figures("failures", young.all.failed / young.all.n, old.all.failed / old.all.n)};
+    return condemned_ = {Verdict::back, true, figures("failures", young.all.failed + young.all.lost, young.all.n)};
   for (int p = 0; p < products_; ++p)
     if (failing(young.by_product[p], old.by_product[p]))
       return condemned_ = {Verdict::back, true,
-                           figures("failures of a product", young.by_product[p].failed, young.by_product[p].n)};
+                           figures("failures of a product", young.by_product[p].failed + young.by_product[p].lost,
+                                   young.by_product[p].n)};
 
   // Answers found wrong come seconds late, so they are counted by build and not by stage.
   auto [given, wrong] = answers_[rel_->build];
@@ -479,13 +480,15 @@
     young_nodes += node.build == rel_->build;
     old_nodes += node.build < rel_->build && node.phase == NodePhase::in;
   }
-  bool window = now >= latest + std::max(least_window, settings_.bake);
+  // Where the clock's step is shorter than the window, the step is the window: it must be over in time.
+  Span length = settings_.gate == Gate::clock ? std::min(least_window, settings_.step) : least_window;
+  bool window = now >= latest + std::max(length, settings_.bake);
   bool judged = young.all.n >= least_submissions && window;
 
   // Slowness, on warm machines only: the p99 against its ceiling, the SLA time, then the whole distribution
   // against the older build's, which sees it long before a p99 of a few answers can. Both need machines of the
   // older build under the usual load: while a fleet is swapped in place the rest of it says nothing.
-  if (window && 2 * old_nodes >= young_nodes && young.all.timed >= 20 && old_now >= 20 && old.all.timed >= 20 && rel_->phase == RelPhase::trial) {
+  if (2 * old_nodes >= young_nodes && young.all.timed >= 20 && old_now >= 20 && old.all.timed >= 20 && rel_->phase == RelPhase::trial) {
     auto p99 = [](std::vector<double>& parts) {
       auto at = parts.begin() + static_cast<long>(0.99 * (parts.size() - 1));
       std::nth_element(parts.begin(), at, parts.end());
@@ -499,10 +502,10 @@
     double machines = machine_spread * machine_spread * (1.0 / young.by_node.size() + 1.0 / old.by_node.size());
     double error = std::sqrt(spread(young.all) + spread(old.all) + machines);
     // A p99 of so few answers is one machine's bad second; the middle must have moved too.
-    if (young.all.timed >= 100 && young_p99 > 1 && young_p99 > 2 * old_p99 && apart > 0.36)
+    if (young.all.timed >= 100 && young_p99 > 1 && young_p99 > 2 * old_p99 && apart > 0.42 && window)
       return condemned_ = {Verdict::back, true, figures("p99 in SLA times", young_p99, old_p99)};
     doubtful |= apart > 0.4 && apart > 1.7 * error;
-    if (apart > 0.42 && apart - 2 * error > 0.18)
+    if ((window && apart > 0.42 && apart - 2 * error > 0.18) || apart - 3 * error > 0.35)
       return condemned_ = {Verdict::back, true, figures("times the older's latency", std::exp(apart), std::exp(error))};
   }
 
@@ -513,7 +516,7 @@
   }
   // An umpire too quiet to reach the minimum soon does not hold the others up.
   double lacking = least_submissions - young.all.n;
-  bool soon = lacking <= 0 || lacking < trial_per_s;
+  bool soon = lacking <= 0 || lacking < 0.5 * trial_per_s;
   bool near_end = now >= latest + settings_.step + clock_lag;
   if (near_end && ((lacking > 0 && soon) || doubtful)) {
     if (held_from_ == long_ago) held_from_ = now;
--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -161,6 +161,7 @@
     else if (key == "safe_only_stages") exposure.safe_only_stages = static_cast<int>(v);
     else if (key == "no_copies") txns.second_copies = false;
     else if (key == "umpires") gate.umpires = txns.umpires = static_cast<int>(v);
+    else if (key == "step") gate.step = ms(v);
     else if (key == "gate")
       gate.gate = one_of<Gate>(w[2], {{"first", Gate::first_vote}, {"count", Gate::count}, {"clock", Gate::clock}});
     else throw std::runtime_error("unknown setting " + key);
