Send back a release that slows the whole fleet at no more load

It also holds against any harm a trial does to shared things; it errs where other umpires' traffic jumps and ours does not.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -209,6 +209,14 @@
   return true;
 }
 
+// What the nodes in use are able to do, in usual nodes.
+double Nodes::able(Span now) const {
+  double sum = 0;
+  for (int n = 0; n < static_cast<int>(nodes_.size()); ++n)
+    if (open(n) && !resting(n, now)) sum += nodes_[n].size * warmth(n, now);
+  return sum;
+}
+
 // Own txns in flight, weighed by size, warmth and how slow the node's last answers were.
 double Nodes::cost(int n, Span now) {
   const Node& node = nodes_[n];
@@ -341,12 +349,14 @@
 
 // Trial
 namespace {
-constexpr std::size_t fresh_kept = 600, older_kept = 800;
+constexpr std::size_t fresh_kept = 600, older_kept = 800, firsts_kept = 200;
 constexpr double least_submissions = 10;  // the source's minimum before a stage is judged
 constexpr Span least_window = 4s;         // from the latest start in the stage
 constexpr double failure_threshold = 0.03;
 constexpr double beyond_chance = 0.001;   // how unlikely failures must be before they count as the build's
 constexpr double machine_spread = 0.22;   // of the logarithm of a machine's latency, load included
+constexpr Span shared_window = 1500ms;    // so long must the whole fleet be slower,
+constexpr double shared_slow = 1.7, shared_load = 1.15;  // by this, at no more than this times the load
 constexpr Span clock_lag = 500ms;         // a step is near its end so long after latest start and step time
 constexpr Span poorly_memory = 10s;       // machines of the older build that were poorly so lately
 constexpr Span hold_few = 1s;             // or so long when figures are merely few
@@ -354,13 +364,14 @@
 }  // namespace
 
 Trial::Trial(const GateSettings& settings, int products, Span cold_for)
-    : settings_(settings), products_(products), cold_for_(cold_for), fresh_(fresh_kept), older_(older_kept) {}
+    : settings_(settings), products_(products), cold_for_(cold_for), fresh_(fresh_kept), older_(older_kept), firsts_(firsts_kept) {}
 
 void Trial::news(const RelNews& rel, Span now) {
   bool moved = !rel_ || rel_->build != rel.build || rel_->stage != rel.stage || rel_->phase != rel.phase;
   if (!rel_ || rel_->build != rel.build) {
     seen_on_trial_ = false;
     condemned_ = {};
+    usual_part_.reset();
   }
   if (rel.phase == RelPhase::trial) seen_on_trial_ = true;
   if (moved) {
@@ -397,16 +408,57 @@
       if (!sample.warm) continue;
       counts->timed += 1;
       counts->sum += log_ratio;
+      counts->whole += std::log(std::clamp(sample.sla_part, 0.001, 10.0));
       counts->squares += log_ratio * log_ratio;
     }
     if (sample.warm) arm.sla_parts.push_back(sample.sla_part);
   }
 }
 
-Finding Trial::judge(const std::vector<Node>& nodes, double trial_per_s, Span now) {
+void Trial::taken(bool repeat, Span now) {
+  if (!repeat) firsts_.push(now);
+}
+
+// First tries a second of late.
+double Trial::pace() const {
+  if (firsts_.size() < 2) return 0;
+  return (firsts_.size() - 1) / std::max(0.01, seconds(firsts_.back(0) - firsts_.back(firsts_.size() - 1)));
+}
+
+// A release may slow all machines, old and new alike; beside the older build it then looks well. Guards
+// against any harm that the trial does to the whole fleet: nearly all of the older build's machines answer
+// much slower than before the offer, though they are no busier with our txns. It errs where other umpires'
+// traffic jumps during a trial and ours does not.
+bool Trial::shared_harm(double able, Span now) {
+  Arm old;
+  tally(old, older_, now - shared_window, [](int) { return false; });
+  if (!usual_part_ || old.all.timed < 30 || able <= 0 || pace() > shared_load * usual_load_ * able) return false;
+  auto mean = [](const Counts& c) { return c.whole / c.timed; };
+  int slow = 0, seen = 0;
+  for (auto& [node, counts] : old.by_node) {
+    if (counts.timed < 2) continue;
+    ++seen;
+    slow += mean(counts) > *usual_part_ + std::log(shared_slow) / 2;
+  }
+  return mean(old.all) > *usual_part_ + std::log(shared_slow) && 5 * slow >= 4 * seen;
+}
+
+Finding Trial::judge(const std::vector<Node>& nodes, double trial_per_s, double able, Span now) {
   if (!rel_ || (rel_->phase != RelPhase::trial && !(rel_->phase == RelPhase::released && seen_on_trial_)))
     return {};
   if (condemned_.verdict == Verdict::back) return condemned_;
+  if (!usual_part_ && rel_->phase == RelPhase::trial && rel_->stage == 0 && fresh_.size() == 0) {
+    Arm before;
+    tally(before, older_, long_ago, [](int) { return false; });
+    if (before.all.timed >= 50 && able > 0) {
+      usual_part_ = before.all.whole / before.all.timed;
+      usual_load_ = pace() / able;
+    }
+  }
+  if (rel_->phase != RelPhase::trial || fresh_.size() < least_submissions / 2 || !shared_harm(able, now))
+    slow_from_ = now;
+  if (now - slow_from_ >= shared_window)
+    return condemned_ = {Verdict::back, true, figures("all slower; load", pace() / able, usual_load_)};
   auto none = [](int) { return false; };
   Arm old, young;
   tally(old, older_, stage_at_, none);
@@ -499,7 +551,11 @@
     auto spread = [&](const Counts& c) { return std::max(0.0, c.squares / c.timed - mean(c) * mean(c)) / c.timed; };
     double apart = mean(young.all) - mean(old.all);
     // Machines differ among themselves: few machines tell little, however many answers they gave.
-    double machines = machine_spread * machine_spread * (1.0 / young.by_node.size() + 1.0 / old.by_node.size());
+    auto machines_in = [](const Arm& arm) {
+      return std::max<long>(1, std::count_if(arm.by_node.begin(), arm.by_node.end(),
+                                             [](auto& c) { return c.second.timed >= 3; }));
+    };
+    double machines = machine_spread * machine_spread * (1.0 / machines_in(young) + 1.0 / machines_in(old));
     double error = std::sqrt(spread(young.all) + spread(old.all) + machines);
     // A p99 of so few answers is one machine's bad second; the middle must have moved too.
     if (young.all.timed >= 100 && young_p99 > 1 && young_p99 > 2 * old_p99 && apart > 0.42 && window)
@@ -835,6 +891,7 @@
 
 void Umpire::txn_arrived(const Arrival& txn, Span now) {
   exposure_.taken(txn.product, now);
+  trial_.taken(txn.repeat, now);
   txns_.arrived(txn, now);
 }
 
@@ -883,7 +940,8 @@
 std::optional<Decision> Umpire::next(Span now) {
   if (now >= judged_at_ + judge_every) {
     judged_at_ = now;
-    Finding found = trial_.judge(nodes_.all(), exposure_.taken_per_s(now) * txns_.trial_share(now), now);
+    double trial_per_s = exposure_.taken_per_s(now) * txns_.trial_share(now);
+    Finding found = trial_.judge(nodes_.all(), trial_per_s, nodes_.able(now), now);
     ballot_.wants(found.verdict, now, chance_);
     const char* words[] = {"watching", "on", "hold", "back"};
     std::string mode = words[static_cast<int>(found.verdict)];
--- a/src/logic.h
+++ b/src/logic.h
@@ -31,6 +31,7 @@
   bool resting(int node, Span now) const;
   bool well(int node, Span now);
   double warmth(int node, Span now) const;
+  double able(Span now) const;
   double cost(int node, Span now);
   Span wait(int node, Span now);
   int choose(const std::function<bool(int)>& may, bool careful, Span longest, Span now, Chance& chance);
@@ -91,12 +92,13 @@
   void flagged(int build);
   bool watched(int build) const;
   // A build once condemned stays so.
-  Finding judge(const std::vector<Node>& nodes, double trial_per_s, Span now);
+  Finding judge(const std::vector<Node>& nodes, double trial_per_s, double able, Span now);
+  void taken(bool repeat, Span now);
   const std::optional<RelNews>& rel() const { return rel_; }
 
  private:
   struct Counts {
-    double n = 0, failed = 0, lost = 0, timed = 0, sum = 0, squares = 0;
+    double n = 0, failed = 0, lost = 0, timed = 0, sum = 0, squares = 0, whole = 0;
   };
   struct Arm {
     std::map<int, Counts> by_node{};
@@ -104,6 +106,8 @@
     Counts all{};
     std::vector<double> sla_parts{};
   };
+  bool shared_harm(double able, Span now);
+  double pace() const;
   void tally(Arm& arm, const Samples<Sample>& samples, Span from, const std::function<bool(int)>& skip) const;
 
   GateSettings settings_;
@@ -114,6 +118,10 @@
   Finding condemned_{};
   Span stage_at_{}, held_from_ = long_ago;
   Samples<Sample> fresh_, older_;
+  Samples<Span> firsts_;
+  std::optional<double> usual_part_{};  // the fleet before the offer: mean log of latency over SLA time,
+  double usual_load_ = 0;               // and txns taken for each node's worth of capacity
+  Span slow_from_ = long_ago;
   std::map<int, std::pair<double, double>> answers_{};  // by build: answers passed on, and found wrong
 };
 
