--- a/src/benchlink/main.cpp
+++ b/src/benchlink/main.cpp
@@ -1,4 +1,5 @@
-// robinhoist_benchlink: the module on the bench's wire, batches on standard input, replies on standard output.
+// robinhoist_benchlink: the module on the bench's wire, batches on standard input, replies on standard
+// output.
 #include <iostream>
 
 #include "benchlink/wire.h"
--- a/src/benchlink/wire.cpp
+++ b/src/benchlink/wire.cpp
@@ -59,8 +59,12 @@
   return value;
 }
 
-Span span(double ms) { return Span(std::llround(ms * 1e3)); }
-Span time_of(const Json& object, const char* field) { return span(number(object, field)); }
+Span span(double ms) {
+  return Span(std::llround(ms * 1e3));
+}
+Span time_of(const Json& object, const char* field) {
+  return span(number(object, field));
+}
 
 double positive(const Json& object, const char* field) {
   double value = number(object, field);
@@ -84,11 +88,14 @@
 
 // An outcome without a known word is read as 'may have run'.
 Outcome outcome_of(const Json& fields) {
-  static const std::pair<const char*, Outcome> words[] = {
-      {"Ok", Outcome::ok},           {"Failed", Outcome::error},
-      {"QueueFull", Outcome::full},  {"TimedOut", Outcome::timeout},
-      {"ConnectError", Outcome::no_connection}, {"ResetByPeer", Outcome::reset},
-      {"Canceled", Outcome::cancelled},         {"Ignored", Outcome::moot}};
+  static const std::pair<const char*, Outcome> words[] = {{"Ok", Outcome::ok},
+                                                          {"Failed", Outcome::error},
+                                                          {"QueueFull", Outcome::full},
+                                                          {"TimedOut", Outcome::timeout},
+                                                          {"ConnectError", Outcome::no_connection},
+                                                          {"ResetByPeer", Outcome::reset},
+                                                          {"Canceled", Outcome::cancelled},
+                                                          {"Ignored", Outcome::moot}};
   std::string given = text(fields, "outcome");
   for (auto& [name, value] : words)
     if (given == name) return value;
@@ -118,9 +125,9 @@
     product.sla = span(positive(entry, "goal_time_ms"));
     product.expiry = span(positive(entry, "deadline_ms"));
     product.memory = span(not_negative(entry, "dedup_window_ms"));
-    product.effect = word<Effect>(entry, "effect", {{"free", Effect::inquiry},
-                                                    {"guarded", Effect::referenced},
-                                                    {"single_shot", Effect::once_only}});
+    product.effect = word<Effect>(
+        entry, "effect",
+        {{"free", Effect::inquiry}, {"guarded", Effect::referenced}, {"single_shot", Effect::once_only}});
     product.group =
         word<Group>(entry, "group", {{"all", Group::all}, {"zone", Group::zone}, {"cell", Group::cell}});
     product.revenue = not_negative(entry, "worth");
@@ -157,12 +164,12 @@
   if (settings.cold_from > 1) throw BadInput("setting cold_from must not be above 1");
   settings.fall_multiple = positive(safety, "fall_multiple");
   settings.must_ask = word<bool>(params, "registry_mode", {{"automatic", false}, {"subscribe", true}});
-  settings.sized = word<bool>(
-      params, "weights", {{"silent", false}, {"nominal", true}, {"rough", true}, {"live", true}});
+  settings.sized =
+      word<bool>(params, "weights", {{"silent", false}, {"nominal", true}, {"rough", true}, {"live", true}});
   settings.probes = truth(inner(params, "bounds"), "probes");
-  settings.reports = word<Reports>(
-      inner(params, "load_report"), "source",
-      {{"piggyback", Reports::answers}, {"pull", Reports::probes}, {"silent", Reports::none}});
+  settings.reports =
+      word<Reports>(inner(params, "load_report"), "source",
+                    {{"piggyback", Reports::answers}, {"pull", Reports::probes}, {"silent", Reports::none}});
   return settings;
 }
 
@@ -183,8 +190,9 @@
 
 GateSettings gate_settings(const Json& params, const Json& info) {
   GateSettings settings{};
-  settings.gate = word<Gate>(
-      info, "gate_mode", {{"first_voice", Gate::first_vote}, {"by_count", Gate::count}, {"automatic", Gate::clock}});
+  settings.gate =
+      word<Gate>(info, "gate_mode",
+                 {{"first_voice", Gate::first_vote}, {"by_count", Gate::count}, {"automatic", Gate::clock}});
   settings.bake = span(not_negative(info, "bake_ms"));
   settings.step = span(not_negative(info, "moves_after_ms"));
   settings.vote_life = span(positive(info, "vote_stands_ms"));
@@ -198,7 +206,8 @@
   return settings;
 }
 
-int index(std::unordered_map<std::string, int>& known, std::vector<std::string>& names, const std::string& name) {
+int index(std::unordered_map<std::string, int>& known, std::vector<std::string>& names,
+          const std::string& name) {
   auto [at, fresh] = known.try_emplace(name, static_cast<int>(names.size()));
   if (fresh) names.push_back(name);
   return at->second;
@@ -350,17 +359,19 @@
   instance->products = static_cast<int>(txns.products.size());
   instance->tenants = static_cast<int>(txns.tenants.size());
   std::uint64_t seed = salt.GetUint64();
-  instance->umpire = std::make_unique<Umpire>(static_cast<unsigned>(seed ^ (seed >> 32)), node_settings(params),
-                                              exposure_settings(info), gate_settings(params, info), txns);
+  instance->umpire =
+      std::make_unique<Umpire>(static_cast<unsigned>(seed ^ (seed >> 32)), node_settings(params),
+                               exposure_settings(info), gate_settings(params, info), txns);
   instances_[who] = std::move(instance);
   known(who, true);
 }
 
 void Wire::list(Instance& instance, const Json& fields) {
-  ListNews kind = word<ListNews>(fields, "mode", {{"INCREMENTAL", ListNews::changes},
-                                                  {"FULL", ListNews::whole},
-                                                  {"SAVED", ListNews::saved},
-                                                  {"FAILED", ListNews::failed}});
+  ListNews kind = word<ListNews>(fields, "mode",
+                                 {{"INCREMENTAL", ListNews::changes},
+                                  {"FULL", ListNews::whole},
+                                  {"SAVED", ListNews::saved},
+                                  {"FAILED", ListNews::failed}});
   std::vector<NodeNews> entries;
   if (kind != ListNews::failed) {
     int bank = whole(fields, "bank", 0, 15);
@@ -412,8 +423,9 @@
 }
 
 void Wire::write(const std::string& who, Instance& instance, const Decision& decision) {
-  static const char* const names[] = {"call_out",   "say_no", "error",   "abort_attempt", "inspect", "close_idle",
-                                      "listen", "resolve", "say_so", "wake_at", "emit"};
+  static const char* const names[] = {"call_out", "say_no",     "error",  "abort_attempt",
+                                      "inspect",  "close_idle", "listen", "resolve",
+                                      "say_so",   "wake_at",    "emit"};
   Writer writer(out_);
   auto field = [&](const char* name, const std::string& value) {
     writer.Key(name);
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -13,10 +13,18 @@
 using std::chrono::duration;
 using namespace std::chrono_literals;
 
-double seconds(Span s) { return duration<double>(s).count(); }
-double millis(Span s) { return seconds(s) * 1e3; }
-Span from_millis(double ms) { return Span(static_cast<long long>(ms * 1e3)); }
-double draw(Chance& chance) { return std::uniform_real_distribution<double>(0, 1)(chance); }
+double seconds(Span s) {
+  return duration<double>(s).count();
+}
+double millis(Span s) {
+  return seconds(s) * 1e3;
+}
+Span from_millis(double ms) {
+  return Span(static_cast<long long>(ms * 1e3));
+}
+double draw(Chance& chance) {
+  return std::uniform_real_distribution<double>(0, 1)(chance);
+}
 
 // Chance of k or more rare events where `expected` are due.
 double tail(double k, double expected) {
@@ -34,18 +42,20 @@
   return text;
 }
 
-bool lost(Outcome o) { return o == Outcome::timeout || o == Outcome::no_connection || o == Outcome::reset; }
+bool lost(Outcome o) {
+  return o == Outcome::timeout || o == Outcome::no_connection || o == Outcome::reset;
+}
 bool proves_not_run(Outcome o) {
   return o == Outcome::full || o == Outcome::no_connection || o == Outcome::moot;
 }
 
 // Nodes
 constexpr std::size_t results_kept = 16, took_kept = 64;
-constexpr Span result_life = 5s;         // health goes by results no older than this
-constexpr Span first_bench = 500ms;      // a node that lost two in a row rests so long, then doubling
-constexpr Span failing_rest = 2s;        // a failing node is tried again after so long without a failure
-constexpr Span full_rest = 100ms;        // a node that turned work away
-constexpr double cold_margin = 0.7;      // part of what the cold rule allows that is used
+constexpr Span result_life = 5s;     // health goes by results no older than this
+constexpr Span first_bench = 500ms;  // a node that lost two in a row rests so long, then doubling
+constexpr Span failing_rest = 2s;    // a failing node is tried again after so long without a failure
+constexpr Span full_rest = 100ms;    // a node that turned work away
+constexpr double cold_margin = 0.7;  // part of what the cold rule allows that is used
 constexpr Span ask_pause_least = 400ms, ask_pause_most = 3s;
 }  // namespace
 
@@ -86,7 +96,9 @@
   }
 }
 
-bool Nodes::open(int n) const { return nodes_[n].listed && nodes_[n].phase == NodePhase::in; }
+bool Nodes::open(int n) const {
+  return nodes_[n].listed && nodes_[n].phase == NodePhase::in;
+}
 
 double Nodes::warmth(int n, Span now) const {
   const Node& node = nodes_[n];
@@ -124,15 +136,15 @@
   bool well = outcome == Outcome::ok || (outcome == Outcome::timeout && node.heard_at >= submission.sent);
   node.results.push({now, well, ratio(txn.product, took, txn.hint_ms), took, submission.in_hand});
   if (outcome != Outcome::ok) return;
-  // What warm nodes carry, for the cold rule: answers in a window, for each warm node.
-  settled_.push_back(now);
-  while (settled_.front() < now - settings_.fall_window) settled_.pop_front();
-  int warm = 0, listed = 0;
-  for (int n = 0; n < static_cast<int>(nodes_.size()); ++n) {
-    listed += open(n);
-    warm += open(n) && warmth(n, now) >= 1;
-  }
-  if (4 * warm >= listed && warm > 0) fair_ = static_cast<double>(settled_.size()) / warm;
+  // What one warm node carries, for the cold rule. Only warm nodes count, and all that answered in the window,
+  // also those gone since: else a fleet nearly all cold, or one being swapped, looks far more able than it is.
+  if (warmth(submission.node, submission.sent) < 1) return;
+  settled_.push_back({now, submission.node});
+  while (settled_.front().first < now - settings_.fall_window) settled_.pop_front();
+  std::vector<char> seen(nodes_.size(), 0);
+  for (auto& [at, n] : settled_) seen[n] = 1;
+  for (int n = 0; n < static_cast<int>(nodes_.size()); ++n) seen[n] |= open(n) && warmth(n, now) >= 1;
+  fair_ = static_cast<double>(settled_.size()) / std::count(seen.begin(), seen.end(), 1);
 }
 
 void Nodes::learn(int product, Span took, double hint_ms) {
@@ -160,8 +172,12 @@
   return millis(took) / hint_ms / rates[rates.size() / 2];
 }
 
-double Nodes::sla_part(int product, Span took) const { return millis(took) / millis(products_[product].sla); }
-void Nodes::report(int n, const Load& load) { nodes_[n].load = load; }
+double Nodes::sla_part(int product, Span took) const {
+  return millis(took) / millis(products_[product].sla);
+}
+void Nodes::report(int n, const Load& load) {
+  nodes_[n].load = load;
+}
 
 // The longest that an answer may keep us waiting before its node is taken to be silent.
 Span Nodes::patience() {
@@ -194,7 +210,8 @@
 bool Nodes::well(int n, Span now) {
   Node& node = nodes_[n];
   if (now < node.full_at + full_rest) return false;
-  if (!node.out.empty() && node.heard_at < node.out.front() && now - node.out.front() > patience()) return false;
+  if (!node.out.empty() && node.heard_at < node.out.front() && now - node.out.front() > patience())
+    return false;
   int failed = 0, seen = 0;
   Span last = long_ago;
   for (std::size_t i = 0; i < node.results.size(); ++i) {
@@ -293,11 +310,14 @@
   rel_ = rel;
 }
 
-Exposure::Count& Exposure::count(int product) { return counts_[settings_.by_product ? product : 0]; }
+Exposure::Count& Exposure::count(int product) {
+  return counts_[settings_.by_product ? product : 0];
+}
 
 // Sends are kept a tick longer than txns taken, so that either way of reading the window's ends holds.
 void Exposure::trim(Count& count, Span now) const {
-  while (!count.taken.empty() && count.taken.front() <= now - settings_.window + tick_) count.taken.pop_front();
+  while (!count.taken.empty() && count.taken.front() <= now - settings_.window + tick_)
+    count.taken.pop_front();
   while (!count.sent.empty() && count.sent.front() < now - settings_.window - tick_) count.sent.pop_front();
 }
 
@@ -306,7 +326,9 @@
   trim(count(product), now);
 }
 
-void Exposure::sent(int product, Span now) { count(product).sent.push_back(now); }
+void Exposure::sent(int product, Span now) {
+  count(product).sent.push_back(now);
+}
 
 void Exposure::answered(const std::string& key, int build) {
   if (settings_.one_way && !key.empty() && on_trial(build)) moved_keys_[key] = build;
@@ -353,18 +375,23 @@
 constexpr double least_submissions = 10;  // the source's minimum before a stage is judged
 constexpr Span least_window = 4s;         // from the latest start in the stage
 constexpr double failure_threshold = 0.03;
-constexpr double beyond_chance = 0.001;   // how unlikely failures must be before they count as the build's
-constexpr double machine_spread = 0.22;   // of the logarithm of a machine's latency, load included
-constexpr Span shared_window = 1500ms;    // so long must the whole fleet be slower,
-constexpr double shared_slow = 1.7, shared_load = 1.15;  // by this, at no more than this times the load
-constexpr Span clock_lag = 500ms;         // a step is near its end so long after latest start and step time
-constexpr Span poorly_memory = 10s;       // machines of the older build that were poorly so lately
-constexpr Span hold_few = 1s;             // or so long when figures are merely few
-constexpr Span hold_most = 4s;            // a stage is held up no longer than this for want of evidence
+constexpr double beyond_chance = 0.001;  // how unlikely failures must be before they count as the build's
+constexpr double machine_spread = 0.22;  // of the logarithm of a machine's latency, load included
+constexpr Span shared_window = 1500ms;   // so long must the whole fleet be slower,
+constexpr double shared_slow = 1.7, shared_load = 1.3;  // by this, at no more than this times the load
+constexpr Span clock_lag = 500ms;    // a step is near its end so long after latest start and step time
+constexpr Span poorly_memory = 10s;  // machines of the older build that were poorly so lately
+constexpr Span hold_few = 1s;        // or so long when figures are merely few
+constexpr Span hold_most = 4s;       // a stage is held up no longer than this for want of evidence
 }  // namespace
 
 Trial::Trial(const GateSettings& settings, int products, Span cold_for)
-    : settings_(settings), products_(products), cold_for_(cold_for), fresh_(fresh_kept), older_(older_kept), firsts_(firsts_kept) {}
+    : settings_(settings),
+      products_(products),
+      cold_for_(cold_for),
+      fresh_(fresh_kept),
+      older_(older_kept),
+      firsts_(firsts_kept) {}
 
 void Trial::news(const RelNews& rel, Span now) {
   bool moved = !rel_ || rel_->build != rel.build || rel_->stage != rel.stage || rel_->phase != rel.phase;
@@ -389,9 +416,15 @@
   return build > rel_->build || rel_->phase != RelPhase::released || seen_on_trial_;
 }
 
-void Trial::noted(int build, const Sample& sample) { (watched(build) ? fresh_ : older_).push(sample); }
-void Trial::settled(int build) { answers_[build].first += 1; }
-void Trial::flagged(int build) { answers_[build].second += 1; }
+void Trial::noted(int build, const Sample& sample) {
+  (watched(build) ? fresh_ : older_).push(sample);
+}
+void Trial::settled(int build) {
+  answers_[build].first += 1;
+}
+void Trial::flagged(int build) {
+  answers_[build].second += 1;
+}
 
 void Trial::tally(Arm& arm, const Samples<Sample>& samples, Span from,
                   const std::function<bool(int)>& skip) const {
@@ -432,15 +465,19 @@
 bool Trial::shared_harm(double able, Span now) {
   Arm old;
   tally(old, older_, now - shared_window, [](int) { return false; });
-  if (!usual_part_ || old.all.timed < 30 || able <= 0 || pace() > shared_load * usual_load_ * able) return false;
+  if (!usual_part_ || old.all.timed < 30 || able <= 0 || usual_load_ <= 0) return false;
+  double load = std::max(1.0, pace() / able / usual_load_);
+  if (load > shared_load) return false;
+  // Queues grow faster than the load: so much more is asked of the slowness.
+  double slower = std::log(shared_slow * load * load);
   auto mean = [](const Counts& c) { return c.whole / c.timed; };
   int slow = 0, seen = 0;
   for (auto& [node, counts] : old.by_node) {
     if (counts.timed < 2) continue;
     ++seen;
-    slow += mean(counts) > *usual_part_ + std::log(shared_slow) / 2;
+    slow += mean(counts) > *usual_part_ + slower / 2;
   }
-  return mean(old.all) > *usual_part_ + std::log(shared_slow) && 5 * slow >= 4 * seen;
+  return mean(old.all) > *usual_part_ + slower && 5 * slow >= 4 * seen;
 }
 
 Finding Trial::judge(const std::vector<Node>& nodes, double trial_per_s, double able, Span now) {
@@ -473,7 +510,8 @@
   // a small part of the trial's machines may be poorly too and is left out. It hurts where a bad build and
   // machine trouble meet, until more machines of the build run.
   auto poorly = [](const Counts& c) {
-    return (c.n >= 5 && c.failed >= 2 && c.failed >= 0.12 * c.n) || (c.timed >= 5 && c.sum >= std::log(1.8) * c.timed);
+    return (c.n >= 5 && c.failed >= 2 && c.failed >= 0.12 * c.n) ||
+           (c.timed >= 5 && c.sum >= std::log(1.8) * c.timed);
   };
   auto poorly_in = [&](const Arm& arm) {
     return std::count_if(arm.by_node.begin(), arm.by_node.end(), [&](auto& c) { return poorly(c.second); });
@@ -503,12 +541,14 @@
     return failed >= 3 && failed > failure_threshold * c.n && luck < chance;
   };
   if (failing(young.all, old.all))
-    return condemned_ = {Verdict::back, true, figures("failures", young.all.failed + young.all.lost, young.all.n)};
+    return condemned_ = {Verdict::back, true,
+                         figures("failures", young.all.failed + young.all.lost, young.all.n)};
   for (int p = 0; p < products_; ++p)
     if (failing(young.by_product[p], old.by_product[p]))
-      return condemned_ = {Verdict::back, true,
-                           figures("failures of a product", young.by_product[p].failed + young.by_product[p].lost,
-                                   young.by_product[p].n)};
+      return condemned_ = {
+                 Verdict::back, true,
+                 figures("failures of a product", young.by_product[p].failed + young.by_product[p].lost,
+                         young.by_product[p].n)};
 
   // Answers found wrong come seconds late, so they are counted by build and not by stage.
   auto [given, wrong] = answers_[rel_->build];
@@ -538,17 +578,20 @@
   bool judged = young.all.n >= least_submissions && window;
 
   // Slowness, on warm machines only: the p99 against its ceiling, the SLA time, then the whole distribution
-  // against the older build's, which sees it long before a p99 of a few answers can. Both need machines of the
-  // older build under the usual load: while a fleet is swapped in place the rest of it says nothing.
-  if (2 * old_nodes >= young_nodes && young.all.timed >= 20 && old_now >= 20 && old.all.timed >= 20 && rel_->phase == RelPhase::trial) {
+  // against the older build's, which sees it long before a p99 of a few answers can. Both need machines of
+  // the older build under the usual load: while a fleet is swapped in place the rest of it says nothing.
+  if (2 * old_nodes >= young_nodes && young.all.timed >= 20 && old_now >= 20 && old.all.timed >= 20 &&
+      rel_->phase == RelPhase::trial) {
     auto p99 = [](std::vector<double>& parts) {
       auto at = parts.begin() + static_cast<long>(0.99 * (parts.size() - 1));
       std::nth_element(parts.begin(), at, parts.end());
       return *at;
     };
     double young_p99 = p99(young.sla_parts), old_p99 = p99(old.sla_parts);
-        auto mean = [](const Counts& c) { return c.sum / c.timed; };
-    auto spread = [&](const Counts& c) { return std::max(0.0, c.squares / c.timed - mean(c) * mean(c)) / c.timed; };
+    auto mean = [](const Counts& c) { return c.sum / c.timed; };
+    auto spread = [&](const Counts& c) {
+      return std::max(0.0, c.squares / c.timed - mean(c) * mean(c)) / c.timed;
+    };
     double apart = mean(young.all) - mean(old.all);
     // Machines differ among themselves: few machines tell little, however many answers they gave.
     auto machines_in = [](const Arm& arm) {
@@ -562,7 +605,8 @@
       return condemned_ = {Verdict::back, true, figures("p99 in SLA times", young_p99, old_p99)};
     doubtful |= apart > 0.4 && apart > 1.7 * error;
     if ((window && apart > 0.42 && apart - 2 * error > 0.18) || apart - 3 * error > 0.35)
-      return condemned_ = {Verdict::back, true, figures("times the older's latency", std::exp(apart), std::exp(error))};
+      return condemned_ = {Verdict::back, true,
+                           figures("times the older's latency", std::exp(apart), std::exp(error))};
   }
 
   if (rel_->phase == RelPhase::released) return {Verdict::none, judged, "released"};
@@ -576,7 +620,8 @@
   bool near_end = now >= latest + settings_.step + clock_lag;
   if (near_end && ((lacking > 0 && soon) || doubtful)) {
     if (held_from_ == long_ago) held_from_ = now;
-    if (now < held_from_ + (doubtful ? hold_most : hold_few)) return {Verdict::hold, false, figures("held at", young.all.n, young.all.failed)};
+    if (now < held_from_ + (doubtful ? hold_most : hold_few))
+      return {Verdict::hold, false, figures("held at", young.all.n, young.all.failed)};
   }
   return {Verdict::none, judged, figures("failures", young.all.failed, young.all.n)};
 }
@@ -629,8 +674,8 @@
 
 // Txns
 namespace {
-constexpr double cap_used = 0.9;        // part of the cap that first attempts fill
-constexpr double most_load = 1.0;       // a trial machine's load against a usual machine's
+constexpr double cap_used = 0.9;   // part of the cap that first attempts fill
+constexpr double most_load = 1.0;  // a trial machine's load against a usual machine's
 constexpr std::size_t again_kept = 100;
 constexpr int copies_most = 8, again_most = 20;  // of the last hundred submissions, so many may be repeats
 constexpr double wait_least = 0.45, wait_more = 0.3;  // of the SLA time, by the txn's revenue
@@ -758,7 +803,8 @@
   if (product.effect == Effect::inquiry) return true;
   for (const Submission& one : txn.submissions) {
     if (one.never_ran) continue;
-    if (product.effect == Effect::once_only || now + settings_.tick >= one.sent + product.memory) return false;
+    if (product.effect == Effect::once_only || now + settings_.tick >= one.sent + product.memory)
+      return false;
     const Node &there = nodes_.all()[node], &before = nodes_.all()[one.node];
     if (product.group == Group::zone && there.zone != before.zone) return false;
     if (product.group == Group::cell && there.cell != before.cell) return false;
@@ -767,7 +813,8 @@
 }
 
 bool Txns::may_have_run(const Txn& txn) const {
-  return std::any_of(txn.submissions.begin(), txn.submissions.end(), [](auto& one) { return !one.never_ran; });
+  return std::any_of(txn.submissions.begin(), txn.submissions.end(),
+                     [](auto& one) { return !one.never_ran; });
 }
 
 // Shedding by revenue: the less a txn brings, the shorter the queue that it may join; none may join one that
@@ -814,8 +861,11 @@
 std::optional<Decision> Txns::submit(int id, Txn& txn, int node, Span now) {
   int build = nodes_.all()[node].build;
   bool trial = exposure_.on_trial(build);
-  txn.submissions.push_back({.node = node, .build = build, .sent = now,
-                             .in_hand = static_cast<int>(nodes_.all()[node].out.size()) + 1, .trial = trial});
+  txn.submissions.push_back({.node = node,
+                             .build = build,
+                             .sent = now,
+                             .in_hand = static_cast<int>(nodes_.all()[node].out.size()) + 1,
+                             .trial = trial});
   nodes_.sent(node, now);
   if (trial) exposure_.sent(txn.asked.product, now);
   again_.push(txn.submissions.size() > 1);
@@ -895,8 +945,12 @@
   txns_.arrived(txn, now);
 }
 
-void Umpire::stream_began(int txn) { txns_.streaming(txn); }
-void Umpire::txn_left(int txn) { txns_.left(txn); }
+void Umpire::stream_began(int txn) {
+  txns_.streaming(txn);
+}
+void Umpire::txn_left(int txn) {
+  txns_.left(txn);
+}
 
 void Umpire::submission_ended(int id, int index, Outcome outcome, bool settled, const Load& load, Span now) {
   const Txn* txn = txns_.find(id);
@@ -910,12 +964,12 @@
   // A machine that stops answering swallows many submissions; they count as one failure of the build.
   // A cold machine's late answers tell nothing.
   bool warm = nodes_.warmth(one.node, one.sent) >= 1;
-  bool counts = outcome == Outcome::ok || outcome == Outcome::error ||
-                (lost(outcome) && node.dead_run <= 1 && warm);
+  bool counts =
+      outcome == Outcome::ok || outcome == Outcome::error || (lost(outcome) && node.dead_run <= 1 && warm);
   if (counts && node.build == one.build) {
-    trial_.noted(one.build, {now, one.node, asked.product, outcome == Outcome::error, lost(outcome), warm,
-                             nodes_.ratio(asked.product, took, asked.hint_ms),
-                             nodes_.sla_part(asked.product, took)});
+    trial_.noted(one.build,
+                 {now, one.node, asked.product, outcome == Outcome::error, lost(outcome), warm,
+                  nodes_.ratio(asked.product, took, asked.hint_ms), nodes_.sla_part(asked.product, took)});
     if (outcome == Outcome::ok && warm && !trial_.watched(one.build))
       nodes_.learn(asked.product, took, asked.hint_ms);
   }
@@ -932,10 +986,16 @@
   ballot_.news(rel);
 }
 
-void Umpire::vote_answered(Outcome outcome, Span now) { ballot_.answered(outcome, now); }
+void Umpire::vote_answered(Outcome outcome, Span now) {
+  ballot_.answered(outcome, now);
+}
 void Umpire::tally_news(const Tally&) {}
-void Umpire::answer_flagged(int node, Span) { trial_.flagged(nodes_.all()[node].build); }
-void Umpire::probe_ended(int node, Outcome, const Load& load, Span) { nodes_.report(node, load); }
+void Umpire::answer_flagged(int node, Span) {
+  trial_.flagged(nodes_.all()[node].build);
+}
+void Umpire::probe_ended(int node, Outcome, const Load& load, Span) {
+  nodes_.report(node, load);
+}
 
 std::optional<Decision> Umpire::next(Span now) {
   if (now >= judged_at_ + judge_every) {
--- a/src/logic.h
+++ b/src/logic.h
@@ -48,7 +48,7 @@
   std::vector<Samples<Took>> took_{};
   std::vector<std::vector<double>> sorted_{};
   std::vector<int> unsorted_{};
-  std::deque<Span> settled_{};
+  std::deque<std::pair<Span, int>> settled_{};
   double fair_ = 0;
   bool asked_ = false;
   Span ask_at_{}, ask_pause_{};
--- a/src/samples.h
+++ b/src/samples.h
@@ -23,9 +23,7 @@
   }
   std::size_t size() const { return kept_.size(); }
   // 0 is the newest.
-  const T& back(std::size_t age) const {
-    return kept_[(next_ + kept_.size() - 1 - age) % kept_.size()];
-  }
+  const T& back(std::size_t age) const { return kept_[(next_ + kept_.size() - 1 - age) % kept_.size()]; }
 
  private:
   std::size_t most_;
--- a/src/state.h
+++ b/src/state.h
@@ -119,7 +119,7 @@
 struct Result {
   Span at;
   bool ok;
-  double ratio;     // latency over the product's usual one
+  double ratio;  // latency over the product's usual one
   Span took;
   int in_hand;  // own txns that the node held when this one was sent, itself included
 };
@@ -132,8 +132,8 @@
   Span started{};
   int dead_run = 0;  // submissions lost in a row without any reply
   Span dead_at = long_ago, heard_at = long_ago, full_at = long_ago;
-  std::vector<Span> out{};    // when the submissions still out were sent
-  std::deque<Span> sends{};   // sends within the rule's window while cold
+  std::vector<Span> out{};   // when the submissions still out were sent
+  std::deque<Span> sends{};  // sends within the rule's window while cold
   Samples<Result> results{0};
   Load load{};
 };
--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -18,7 +18,9 @@
 namespace fs = std::filesystem;
 using Words = std::vector<std::string>;
 
-Span ms(double value) { return Span(static_cast<long long>(value * 1e3)); }
+Span ms(double value) {
+  return Span(static_cast<long long>(value * 1e3));
+}
 
 template <class T>
 T one_of(const std::string& word, std::initializer_list<std::pair<const char*, T>> words) {
@@ -28,10 +30,15 @@
 }
 
 Outcome outcome(const std::string& word) {
-  return one_of<Outcome>(word, {{"ok", Outcome::ok}, {"error", Outcome::error}, {"full", Outcome::full},
-                                {"timeout", Outcome::timeout}, {"noconn", Outcome::no_connection},
-                                {"reset", Outcome::reset}, {"cancelled", Outcome::cancelled},
-                                {"moot", Outcome::moot}, {"unknown", Outcome::unknown}});
+  return one_of<Outcome>(word, {{"ok", Outcome::ok},
+                                {"error", Outcome::error},
+                                {"full", Outcome::full},
+                                {"timeout", Outcome::timeout},
+                                {"noconn", Outcome::no_connection},
+                                {"reset", Outcome::reset},
+                                {"cancelled", Outcome::cancelled},
+                                {"moot", Outcome::moot},
+                                {"unknown", Outcome::unknown}});
 }
 
 struct Play {
@@ -98,7 +105,8 @@
             if (!reply && replies.count(key)) reply = &replies[key];
           if (!reply || reply->never) break;
           bool as_said = ++reply->seen % reply->every == 0;
-          dues.push_back({now + ms(reply->after), d->txn, submission, as_said ? reply->outcome : Outcome::ok});
+          dues.push_back(
+              {now + ms(reply->after), d->txn, submission, as_said ? reply->outcome : Outcome::ok});
           break;
         }
         case Action::decline:
@@ -114,9 +122,14 @@
           umpire->vote_answered(vote_answer, now);
           break;
         }
-        case Action::subscribe: note("subscribed"); break;
-        case Action::cancel: note("cancelled"); break;
-        default: break;
+        case Action::subscribe:
+          note("subscribed");
+          break;
+        case Action::cancel:
+          note("cancelled");
+          break;
+        default:
+          break;
       }
     }
   }
@@ -145,7 +158,8 @@
         end(due.txn, due.submission, due.outcome);
       }
       for (Stream& stream : streams)
-        for (; stream.next <= now; stream.next += ms(stream.every_ms)) arrive("", stream.product, stream.expiry, "");
+        for (; stream.next <= now; stream.next += ms(stream.every_ms))
+          arrive("", stream.product, stream.expiry, "");
       pull();
     }
   }
@@ -153,18 +167,29 @@
   void set(const Words& w) {
     double v = w.size() > 2 ? std::atof(w[2].c_str()) : 0;
     const std::string& key = w[1];
-    if (key == "must_ask") nodes.must_ask = true;
-    else if (key == "fall_multiple") nodes.fall_multiple = v;
-    else if (key == "by_product") exposure.by_product = true;
-    else if (key == "one_way") exposure.one_way = true;
-    else if (key == "in_place") exposure.in_place = true;
-    else if (key == "safe_only_stages") exposure.safe_only_stages = static_cast<int>(v);
-    else if (key == "no_copies") txns.second_copies = false;
-    else if (key == "umpires") gate.umpires = txns.umpires = static_cast<int>(v);
-    else if (key == "step") gate.step = ms(v);
+    if (key == "must_ask")
+      nodes.must_ask = true;
+    else if (key == "fall_multiple")
+      nodes.fall_multiple = v;
+    else if (key == "by_product")
+      exposure.by_product = true;
+    else if (key == "one_way")
+      exposure.one_way = true;
+    else if (key == "in_place")
+      exposure.in_place = true;
+    else if (key == "safe_only_stages")
+      exposure.safe_only_stages = static_cast<int>(v);
+    else if (key == "no_copies")
+      txns.second_copies = false;
+    else if (key == "umpires")
+      gate.umpires = txns.umpires = static_cast<int>(v);
+    else if (key == "step")
+      gate.step = ms(v);
     else if (key == "gate")
-      gate.gate = one_of<Gate>(w[2], {{"first", Gate::first_vote}, {"count", Gate::count}, {"clock", Gate::clock}});
-    else throw std::runtime_error("unknown setting " + key);
+      gate.gate =
+          one_of<Gate>(w[2], {{"first", Gate::first_vote}, {"count", Gate::count}, {"clock", Gate::clock}});
+    else
+      throw std::runtime_error("unknown setting " + key);
   }
 
   void command(const Words& w) {
@@ -172,9 +197,12 @@
     if (w[0] == "set") return set(w);
     if (w[0] == "product") {
       Effect effect = one_of<Effect>(
-          w[1], {{"inquiry", Effect::inquiry}, {"referenced", Effect::referenced}, {"once", Effect::once_only}});
-      Group group = w.size() > 3 ? one_of<Group>(w[3], {{"all", Group::all}, {"zone", Group::zone}, {"cell", Group::cell}})
-                                 : Group::all;
+          w[1],
+          {{"inquiry", Effect::inquiry}, {"referenced", Effect::referenced}, {"once", Effect::once_only}});
+      Group group =
+          w.size() > 3
+              ? one_of<Group>(w[3], {{"all", Group::all}, {"zone", Group::zone}, {"cell", Group::cell}})
+              : Group::all;
       txns.products.push_back({ms(300), ms(750), ms(num(2)), effect, group, 1, 0, false});
       return;
     }
@@ -183,20 +211,25 @@
       auto [at, fresh] = names.try_emplace(w[1], static_cast<int>(builds.size()));
       if (fresh) builds.push_back(0);
       builds[at->second] = static_cast<int>(num(2));
-      NodePhase phase =
-          one_of<NodePhase>(w[3], {{"in", NodePhase::in}, {"lame", NodePhase::lame}, {"out", NodePhase::out}});
+      NodePhase phase = one_of<NodePhase>(
+          w[3], {{"in", NodePhase::in}, {"lame", NodePhase::lame}, {"out", NodePhase::out}});
       Span started = w.size() > 4 && w[4] != "-" ? now - ms(1e3 * num(4)) : Span{};
-      umpire->list_news(ListNews::changes, {{at->second, static_cast<int>(num(5)), static_cast<int>(num(6)),
-                                             builds[at->second], phase, 1, started}}, now);
+      umpire->list_news(ListNews::changes,
+                        {{at->second, static_cast<int>(num(5)), static_cast<int>(num(6)), builds[at->second],
+                          phase, 1, started}},
+                        now);
     } else if (w[0] == "list_failed") {
       umpire->list_news(ListNews::failed, {}, now);
     } else if (w[0] == "release") {  // release BUILD STAGE trial|back|released|withdrawn CAP
-      RelPhase phase = one_of<RelPhase>(w[3], {{"trial", RelPhase::trial}, {"back", RelPhase::going_back},
-                                               {"released", RelPhase::released}, {"withdrawn", RelPhase::withdrawn}});
+      RelPhase phase = one_of<RelPhase>(w[3], {{"trial", RelPhase::trial},
+                                               {"back", RelPhase::going_back},
+                                               {"released", RelPhase::released},
+                                               {"withdrawn", RelPhase::withdrawn}});
       umpire->release_news({static_cast<int>(num(1)), static_cast<int>(num(2)), phase, num(4), Span{}}, now);
     } else if (w[0] == "reply") {  // reply NODE|buildN never, or AFTER_MS OUTCOME [EVERY]
       bool never = w[2] == "never";
-      replies[w[1]] = {num(2), never ? Outcome::ok : outcome(w[3]), w.size() > 4 ? static_cast<int>(num(4)) : 1, 0, never};
+      replies[w[1]] = {num(2), never ? Outcome::ok : outcome(w[3]),
+                       w.size() > 4 ? static_cast<int>(num(4)) : 1, 0, never};
     } else if (w[0] == "traffic") {  // traffic PRODUCT EVERY_MS; 0 stops it
       streams.clear();
       if (num(2) > 0) streams.push_back({static_cast<int>(num(1)), num(2), 750, now});
@@ -218,7 +251,9 @@
       for (std::size_t i = 2; i + 2 < w.size(); ++i) what += " " + w[i];
       double seen = counts[what], wanted = std::atof(w.back().c_str());
       const std::string& op = w[w.size() - 2];
-      EXPECT_TRUE(op == "=" ? seen == wanted : op == "<" ? seen < wanted : seen > wanted)
+      EXPECT_TRUE(op == "="   ? seen == wanted
+                  : op == "<" ? seen < wanted
+                              : seen > wanted)
           << what << " is " << seen << ", wanted " << op << " " << wanted;
     } else {
       throw std::runtime_error("unknown command " + w[0]);
@@ -251,8 +286,8 @@
 
 class Wire : public testing::TestWithParam<std::string> {};
 
-// A *.wire file opens with 'refuse LINE WORD', the plain message wanted, or 'accept COUNT TEXT', how often TEXT
-// stands in the replies; @hello stands for a first message. The rest is what the adapter reads.
+// A *.wire file opens with 'refuse LINE WORD', the plain message wanted, or 'accept COUNT TEXT', how often
+// TEXT stands in the replies; @hello stands for a first message. The rest is what the adapter reads.
 TEST_P(Wire, IsRead) {
   auto lines = lines_of(fs::path(SCENARIOS) / (GetParam() + ".wire"));
   std::istringstream first(lines.at(0));
