--- a/src/benchlink/wire.cpp
+++ b/src/benchlink/wire.cpp
@@ -59,12 +59,8 @@
   return value;
 }
 
-Span span(double ms) {
-  return Span(std::llround(ms * 1e3));
-}
-Span time_of(const Json& object, const char* field) {
-  return span(number(object, field));
-}
+Span span(double ms) { return Span(std::llround(ms * 1e3)); }
+Span time_of(const Json& object, const char* field) { return span(number(object, field)); }
 
 double positive(const Json& object, const char* field) {
   double value = number(object, field);
@@ -339,9 +335,12 @@
   } else if (name == "promotion") {
     promotion(instance, fields);
   } else if (name == "metrics") {
-    umpire.tally_news({whole(fields, "ver"), whole(fields, "qos", 0, instance.products - 1),
-                       whole(fields, "samples"), whole(fields, "bad"), number_or(fields, "wait_time_ms", 0),
-                       time_of(fields, "since_ms")});
+    // The module does not use tallies (docs/design.md says why); they are read for their form only.
+    whole(fields, "ver");
+    whole(fields, "qos", 0, instance.products - 1);
+    for (const char* field : {"samples", "bad"}) whole(fields, field);
+    number_or(fields, "wait_time_ms", 0);
+    number(fields, "since_ms");
   } else if (name == "flagged") {
     umpire.answer_flagged(named_node(instance, fields), time_of(fields, "since_ms"));
   } else {
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -4,47 +4,14 @@
 // note; every choice is made in next().
 #include "logic.h"
 
-#include <algorithm>
-#include <cmath>
+#include "figures.h"
 
 namespace robinhoist {
 namespace {
 
-using std::chrono::duration;
 using namespace std::chrono_literals;
 
-double seconds(Span s) {
-  return duration<double>(s).count();
-}
-double millis(Span s) {
-  return seconds(s) * 1e3;
-}
-Span from_millis(double ms) {
-  return Span(static_cast<long long>(ms * 1e3));
-}
-double draw(Chance& chance) {
-  return std::uniform_real_distribution<double>(0, 1)(chance);
-}
-
-// Chance of k or more rare events where `expected` are due.
-double tail(double k, double expected) {
-  double term = std::exp(-expected), below = 0;
-  for (int i = 0; i < k; ++i) {
-    below += term;
-    term *= expected / (i + 1);
-  }
-  return std::max(0.0, 1 - below);
-}
-
-std::string figures(const char* what, double a, double b) {
-  char text[96];
-  std::snprintf(text, sizeof text, "%s %.3g against %.3g", what, a, b);
-  return text;
-}
-
-bool lost(Outcome o) {
-  return o == Outcome::timeout || o == Outcome::no_connection || o == Outcome::reset;
-}
+bool lost(Outcome o) { return o == Outcome::timeout || o == Outcome::no_connection || o == Outcome::reset; }
 bool proves_not_run(Outcome o) {
   return o == Outcome::full || o == Outcome::no_connection || o == Outcome::moot;
 }
@@ -55,7 +22,7 @@
 constexpr Span first_bench = 500ms;  // a node that lost two in a row rests so long, then doubling
 constexpr Span failing_rest = 2s;    // a failing node is tried again after so long without a failure
 constexpr Span full_rest = 100ms;    // a node that turned work away
-constexpr double cold_margin = 0.7;  // part of what the cold rule allows that is used
+constexpr double cold_margin = 0.6;  // part of what the cold rule allows that is used
 constexpr Span ask_pause_least = 400ms, ask_pause_most = 3s;
 }  // namespace
 
@@ -96,9 +63,7 @@
   }
 }
 
-bool Nodes::open(int n) const {
-  return nodes_[n].listed && nodes_[n].phase == NodePhase::in;
-}
+bool Nodes::open(int n) const { return nodes_[n].listed && nodes_[n].phase == NodePhase::in; }
 
 double Nodes::warmth(int n, Span now) const {
   const Node& node = nodes_[n];
@@ -136,8 +101,9 @@
   bool well = outcome == Outcome::ok || (outcome == Outcome::timeout && node.heard_at >= submission.sent);
   node.results.push({now, well, ratio(txn.product, took, txn.hint_ms), took, submission.in_hand});
   if (outcome != Outcome::ok) return;
-  // What one warm node carries, for the cold rule. Only warm nodes count, and all that answered in the window,
-  // also those gone since: else a fleet nearly all cold, or one being swapped, looks far more able than it is.
+  // What one warm node carries, for the cold rule. Only warm nodes count, and all that answered in the
+  // window, also those gone since: else a fleet nearly all cold, or one being swapped, looks far more able
+  // than it is.
   if (warmth(submission.node, submission.sent) < 1) return;
   settled_.push_back({now, submission.node});
   while (settled_.front().first < now - settings_.fall_window) settled_.pop_front();
@@ -168,16 +134,11 @@
   if (hint_ms <= 0 || took_[product].size() == 0) return millis(took) / usual_ms(product, 0.5);
   std::vector<double> rates;
   for (std::size_t i = 0; i < took_[product].size(); ++i) rates.push_back(took_[product].back(i).per_hint);
-  std::nth_element(rates.begin(), rates.begin() + rates.size() / 2, rates.end());
-  return millis(took) / hint_ms / rates[rates.size() / 2];
+  return millis(took) / hint_ms / quantile(rates, 0.5);
 }
 
-double Nodes::sla_part(int product, Span took) const {
-  return millis(took) / millis(products_[product].sla);
-}
-void Nodes::report(int n, const Load& load) {
-  nodes_[n].load = load;
-}
+double Nodes::sla_part(int product, Span took) const { return millis(took) / millis(products_[product].sla); }
+void Nodes::report(int n, const Load& load) { nodes_[n].load = load; }
 
 // The longest that an answer may keep us waiting before its node is taken to be silent.
 Span Nodes::patience() {
@@ -310,9 +271,7 @@
   rel_ = rel;
 }
 
-Exposure::Count& Exposure::count(int product) {
-  return counts_[settings_.by_product ? product : 0];
-}
+Exposure::Count& Exposure::count(int product) { return counts_[settings_.by_product ? product : 0]; }
 
 // Sends are kept a tick longer than txns taken, so that either way of reading the window's ends holds.
 void Exposure::trim(Count& count, Span now) const {
@@ -326,9 +285,7 @@
   trim(count(product), now);
 }
 
-void Exposure::sent(int product, Span now) {
-  count(product).sent.push_back(now);
-}
+void Exposure::sent(int product, Span now) { count(product).sent.push_back(now); }
 
 void Exposure::answered(const std::string& key, int build) {
   if (settings_.one_way && !key.empty() && on_trial(build)) moved_keys_[key] = build;
@@ -416,15 +373,9 @@
   return build > rel_->build || rel_->phase != RelPhase::released || seen_on_trial_;
 }
 
-void Trial::noted(int build, const Sample& sample) {
-  (watched(build) ? fresh_ : older_).push(sample);
-}
-void Trial::settled(int build) {
-  answers_[build].first += 1;
-}
-void Trial::flagged(int build) {
-  answers_[build].second += 1;
-}
+void Trial::noted(int build, const Sample& sample) { (watched(build) ? fresh_ : older_).push(sample); }
+void Trial::settled(int build) { answers_[build].first += 1; }
+void Trial::flagged(int build) { answers_[build].second += 1; }
 
 void Trial::tally(Arm& arm, const Samples<Sample>& samples, Span from,
                   const std::function<bool(int)>& skip) const {
@@ -480,6 +431,8 @@
   return mean(old.all) > *usual_part_ + slower && 5 * slow >= 4 * seen;
 }
 
+Finding Trial::condemn(const std::string& why) { return condemned_ = {Verdict::back, true, why}; }
+
 Finding Trial::judge(const std::vector<Node>& nodes, double trial_per_s, double able, Span now) {
   if (!rel_ || (rel_->phase != RelPhase::trial && !(rel_->phase == RelPhase::released && seen_on_trial_)))
     return {};
@@ -495,7 +448,7 @@
   if (rel_->phase != RelPhase::trial || fresh_.size() < least_submissions / 2 || !shared_harm(able, now))
     slow_from_ = now;
   if (now - slow_from_ >= shared_window)
-    return condemned_ = {Verdict::back, true, figures("all slower; load", pace() / able, usual_load_)};
+    return condemn(figures("all slower; load", pace() / able, usual_load_));
   auto none = [](int) { return false; };
   Arm old, young;
   tally(old, older_, stage_at_, none);
@@ -541,14 +494,11 @@
     return failed >= 3 && failed > failure_threshold * c.n && luck < chance;
   };
   if (failing(young.all, old.all))
-    return condemned_ = {Verdict::back, true,
-                         figures("failures", young.all.failed + young.all.lost, young.all.n)};
+    return condemn(figures("failures", young.all.failed + young.all.lost, young.all.n));
   for (int p = 0; p < products_; ++p)
     if (failing(young.by_product[p], old.by_product[p]))
-      return condemned_ = {
-                 Verdict::back, true,
-                 figures("failures of a product", young.by_product[p].failed + young.by_product[p].lost,
-                         young.by_product[p].n)};
+      return condemn(figures("failures of a product", young.by_product[p].failed + young.by_product[p].lost,
+                             young.by_product[p].n));
 
   // Answers found wrong come seconds late, so they are counted by build and not by stage.
   auto [given, wrong] = answers_[rel_->build];
@@ -561,8 +511,7 @@
   double luck = tail(wrong, given * (old_wrong + 1) / (old_given + 250));
   doubtful |= wrong >= 1 && luck < 0.1;
   bool many = wrong > 0.5 * failure_threshold * settings_.flag_share * given;
-  if (wrong >= 2 && many && luck < 0.004)
-    return condemned_ = {Verdict::back, true, figures("wrong answers", wrong, given)};
+  if (wrong >= 2 && many && luck < 0.004) return condemn(figures("wrong answers", wrong, given));
 
   Span latest = stage_at_;
   int young_nodes = 0, old_nodes = 0;
@@ -582,12 +531,7 @@
   // the older build under the usual load: while a fleet is swapped in place the rest of it says nothing.
   if (2 * old_nodes >= young_nodes && young.all.timed >= 20 && old_now >= 20 && old.all.timed >= 20 &&
       rel_->phase == RelPhase::trial) {
-    auto p99 = [](std::vector<double>& parts) {
-      auto at = parts.begin() + static_cast<long>(0.99 * (parts.size() - 1));
-      std::nth_element(parts.begin(), at, parts.end());
-      return *at;
-    };
-    double young_p99 = p99(young.sla_parts), old_p99 = p99(old.sla_parts);
+    double young_p99 = quantile(young.sla_parts, 0.99), old_p99 = quantile(old.sla_parts, 0.99);
     auto mean = [](const Counts& c) { return c.sum / c.timed; };
     auto spread = [&](const Counts& c) {
       return std::max(0.0, c.squares / c.timed - mean(c) * mean(c)) / c.timed;
@@ -602,11 +546,10 @@
     double error = std::sqrt(spread(young.all) + spread(old.all) + machines);
     // A p99 of so few answers is one machine's bad second; the middle must have moved too.
     if (young.all.timed >= 100 && young_p99 > 1 && young_p99 > 2 * old_p99 && apart > 0.42 && window)
-      return condemned_ = {Verdict::back, true, figures("p99 in SLA times", young_p99, old_p99)};
+      return condemn(figures("p99 in SLA times", young_p99, old_p99));
     doubtful |= apart > 0.4 && apart > 1.7 * error;
     if ((window && apart > 0.42 && apart - 2 * error > 0.18) || apart - 3 * error > 0.35)
-      return condemned_ = {Verdict::back, true,
-                           figures("times the older's latency", std::exp(apart), std::exp(error))};
+      return condemn(figures("times the older's latency", std::exp(apart), std::exp(error)));
   }
 
   if (rel_->phase == RelPhase::released) return {Verdict::none, judged, "released"};
@@ -945,12 +888,8 @@
   txns_.arrived(txn, now);
 }
 
-void Umpire::stream_began(int txn) {
-  txns_.streaming(txn);
-}
-void Umpire::txn_left(int txn) {
-  txns_.left(txn);
-}
+void Umpire::stream_began(int txn) { txns_.streaming(txn); }
+void Umpire::txn_left(int txn) { txns_.left(txn); }
 
 void Umpire::submission_ended(int id, int index, Outcome outcome, bool settled, const Load& load, Span now) {
   const Txn* txn = txns_.find(id);
@@ -986,16 +925,9 @@
   ballot_.news(rel);
 }
 
-void Umpire::vote_answered(Outcome outcome, Span now) {
-  ballot_.answered(outcome, now);
-}
-void Umpire::tally_news(const Tally&) {}
-void Umpire::answer_flagged(int node, Span) {
-  trial_.flagged(nodes_.all()[node].build);
-}
-void Umpire::probe_ended(int node, Outcome, const Load& load, Span) {
-  nodes_.report(node, load);
-}
+void Umpire::vote_answered(Outcome outcome, Span now) { ballot_.answered(outcome, now); }
+void Umpire::answer_flagged(int node, Span) { trial_.flagged(nodes_.all()[node].build); }
+void Umpire::probe_ended(int node, Outcome, const Load& load, Span) { nodes_.report(node, load); }
 
 std::optional<Decision> Umpire::next(Span now) {
   if (now >= judged_at_ + judge_every) {
--- a/src/logic.h
+++ b/src/logic.h
@@ -106,6 +106,7 @@
     Counts all{};
     std::vector<double> sla_parts{};
   };
+  Finding condemn(const std::string& why);
   bool shared_harm(double able, Span now);
   double pace() const;
   void tally(Arm& arm, const Samples<Sample>& samples, Span from, const std::function<bool(int)>& skip) const;
@@ -195,7 +196,6 @@
   void txn_left(int txn);
   void release_news(const RelNews& rel, Span now);
   void vote_answered(Outcome outcome, Span now);
-  void tally_news(const Tally& tally);
   void answer_flagged(int node, Span age);
   void probe_ended(int node, Outcome outcome, const Load& load, Span now);
 
--- a/src/state.h
+++ b/src/state.h
@@ -87,12 +87,6 @@
   std::optional<double> held, waiting, busy, service_ms, served_ps, failed_ps;
 };
 
-struct Tally {
-  int build, product, sampled, bad;
-  double mean_ms;
-  Span age;
-};
-
 struct Arrival {
   int txn, product, tenant;
   Span expiry;
--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -18,9 +18,7 @@
 namespace fs = std::filesystem;
 using Words = std::vector<std::string>;
 
-Span ms(double value) {
-  return Span(static_cast<long long>(value * 1e3));
-}
+Span ms(double value) { return Span(static_cast<long long>(value * 1e3)); }
 
 template <class T>
 T one_of(const std::string& word, std::initializer_list<std::pair<const char*, T>> words) {
