--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -330,8 +330,10 @@
 namespace {
 constexpr std::size_t fresh_kept = 600, older_kept = 800, firsts_kept = 200;
 constexpr double least_submissions = 10;  // the source's minimum before a stage is judged
+constexpr double like_load = 1.4;         // a trial machine's traffic against an older one's
+constexpr Span same_time = 2s;            // outcomes of both builds are compared in spans of this
 constexpr Span least_window = 4s;         // from the latest start in the stage
-constexpr double failure_threshold = 0.03;
+constexpr double failure_threshold = 0.03, flood_threshold = 0.2;  // beside older machines, and without
 constexpr double beyond_chance = 0.001;  // how unlikely failures must be before they count as the build's
 constexpr double machine_spread = 0.22;  // of the logarithm of a machine's latency, load included
 constexpr Span shared_window = 1500ms;   // so long must the whole fleet be slower,
@@ -377,18 +379,25 @@
 void Trial::settled(int build) { answers_[build].first += 1; }
 void Trial::flagged(int build) { answers_[build].second += 1; }
 
-void Trial::tally(Arm& arm, const Samples<Sample>& samples, Span from,
-                  const std::function<bool(int)>& skip) const {
+void Trial::tally(Arm& arm, const Samples<Sample>& samples, Span from, const std::function<bool(int)>& skip,
+                  Arm* beside) const {
   arm.by_product.resize(products_);
   for (std::size_t i = 0; i < samples.size(); ++i) {
     const Sample& sample = samples.back(i);
     if (sample.at < from) break;
     if (skip(sample.node)) continue;
+    arm.oldest = sample.at;
     double log_ratio = std::log(std::clamp(sample.ratio, 0.05, 20.0));
-    for (Counts* counts : {&arm.by_node[sample.node], &arm.by_product[sample.product], &arm.all}) {
+    long time = sample.at / same_time;
+    const Counts then = beside ? beside->by_time[time] : Counts{};
+    bool near = !beside || then.n >= 3;
+    for (Counts* counts :
+         {&arm.by_node[sample.node], &arm.by_product[sample.product], &arm.by_time[time], &arm.all}) {
       counts->n += 1;
+      counts->near += near;
+      counts->due += near ? (then.failed + then.lost) / std::max(1.0, then.n) : 0;
       counts->failed += sample.failed;
-      counts->lost += sample.lost;
+      counts->lost += sample.lost && near;
       if (!sample.warm) continue;
       counts->timed += 1;
       counts->sum += log_ratio;
@@ -431,6 +440,15 @@
   return mean(old.all) > *usual_part_ + slower && 5 * slow >= 4 * seen;
 }
 
+double Trial::Arm::machines() const {
+  auto tells = [](auto& c) { return c.second.timed >= 3; };
+  return std::max(1.0, static_cast<double>(std::count_if(by_node.begin(), by_node.end(), tells)));
+}
+
+double Trial::Arm::rate(Span now) const {
+  return all.timed / machines() / std::max(0.1, seconds(now - oldest));
+}
+
 Finding Trial::condemn(const std::string& why) { return condemned_ = {Verdict::back, true, why}; }
 
 Finding Trial::judge(const std::vector<Node>& nodes, double trial_per_s, double able, Span now) {
@@ -457,13 +475,13 @@
     old = {};
     tally(old, older_, long_ago, none);
   }
-  tally(young, fresh_, stage_at_, none);
+  tally(young, fresh_, stage_at_, none, &old);
 
-  // Trouble of a machine is not the build's: where machines of the older build are poorly in the same way,
-  // a small part of the trial's machines may be poorly too and is left out. It hurts where a bad build and
+  // Trouble of a machine is not the build's: where machines of the older build are poorly too, or the
+  // trial has many, a small part of its machines that are poorly is left out. It hurts where a bad build and
   // machine trouble meet, until more machines of the build run.
   auto poorly = [](const Counts& c) {
-    return (c.n >= 5 && c.failed >= 2 && c.failed >= 0.12 * c.n) ||
+    return (c.n >= 3 && c.failed >= 2 && c.failed >= 0.12 * c.n) ||
            (c.timed >= 5 && c.sum >= std::log(1.8) * c.timed);
   };
   auto poorly_in = [&](const Arm& arm) {
@@ -472,26 +490,31 @@
   auto most_left_out = std::max<long>(1, static_cast<long>(young.by_node.size() / 5));
   Arm lately;
   tally(lately, older_, now - poorly_memory, none);
-  if (poorly_in(lately) > 0 && poorly_in(young) <= most_left_out) {
+  bool few_of_many = static_cast<long>(young.by_node.size()) >= 5 * poorly_in(young);
+  if ((poorly_in(lately) > 0 || few_of_many) && poorly_in(young) <= most_left_out) {
     std::map<int, Counts> by_node = young.by_node;
     young = {};
-    tally(young, fresh_, stage_at_, [&](int n) { return poorly(by_node[n]); });
+    tally(
+        young, fresh_, stage_at_, [&](int n) { return poorly(by_node[n]); }, &old);
   }
 
   // Failures: over the threshold, and more than the older build's rate and chance explain.
   bool doubtful = false;
-  // What got no answer counts only beside the older build's at the same time: overload and cut links lose
-  // answers of good builds too.
-  bool beside = old_now >= 2 * least_submissions;
+  // Each failure is set against the older build's at the same time: troubles that come while the trial's
+  // machines are still few or cold would else look like the build's. Without older machines beside it only a
+  // flood of errors speaks, for overload, cut links and other services lose answers of good builds too.
   auto failing = [&](const Counts& c, const Counts& base) {
+    bool beside = 2 * c.near >= c.n;
     double failed = c.failed + beside * c.lost;
     double usual = std::max(0.01, (base.failed + beside * base.lost + 0.5) / (base.n + 25));
-    double luck = tail(failed, usual * c.n);
+    double luck = tail(failed, std::max(usual * c.n, beside * c.due));
     doubtful |= failed >= 2 && luck < 0.03;
     // Before the minimum count only failures far beyond chance speak: a build that fails all is soon left
     // alone by the routing and would never reach it.
     double chance = c.n >= least_submissions ? beyond_chance : beyond_chance / 10;
-    return failed >= 3 && failed > failure_threshold * c.n && luck < chance;
+    bool many = beside ? failed >= 3 && failed > failure_threshold * c.n
+                       : failed >= 8 && failed > flood_threshold * c.n;
+    return many && luck < chance;
   };
   if (failing(young.all, old.all))
     return condemn(figures("failures", young.all.failed + young.all.lost, young.all.n));
@@ -528,9 +551,10 @@
 
   // Slowness, on warm machines only: the p99 against its ceiling, the SLA time, then the whole distribution
   // against the older build's, which sees it long before a p99 of a few answers can. Both need machines of
-  // the older build under the usual load: while a fleet is swapped in place the rest of it says nothing.
-  if (2 * old_nodes >= young_nodes && young.all.timed >= 20 && old_now >= 20 && old.all.timed >= 20 &&
-      rel_->phase == RelPhase::trial) {
+  // the older build under a like load: while a fleet is swapped in place the rest of it says nothing, nor do
+  // machines left idle.
+  if (2 * old_nodes >= young_nodes && young.rate(now) < like_load * old.rate(now) && young.all.timed >= 20 &&
+      old_now >= 20 && old.all.timed >= 20 && rel_->phase == RelPhase::trial) {
     double young_p99 = quantile(young.sla_parts, 0.99), old_p99 = quantile(old.sla_parts, 0.99);
     auto mean = [](const Counts& c) { return c.sum / c.timed; };
     auto spread = [&](const Counts& c) {
@@ -538,11 +562,7 @@
     };
     double apart = mean(young.all) - mean(old.all);
     // Machines differ among themselves: few machines tell little, however many answers they gave.
-    auto machines_in = [](const Arm& arm) {
-      return std::max<long>(1, std::count_if(arm.by_node.begin(), arm.by_node.end(),
-                                             [](auto& c) { return c.second.timed >= 3; }));
-    };
-    double machines = machine_spread * machine_spread * (1.0 / machines_in(young) + 1.0 / machines_in(old));
+    double machines = machine_spread * machine_spread * (1 / young.machines() + 1 / old.machines());
     double error = std::sqrt(spread(young.all) + spread(old.all) + machines);
     // A p99 of so few answers is one machine's bad second; the middle must have moved too.
     if (young.all.timed >= 100 && young_p99 > 1 && young_p99 > 2 * old_p99 && apart > 0.42 && window)
@@ -622,6 +642,7 @@
 constexpr std::size_t again_kept = 100;
 constexpr int copies_most = 8, again_most = 20;  // of the last hundred submissions, so many may be repeats
 constexpr double wait_least = 0.45, wait_more = 0.3;  // of the SLA time, by the txn's revenue
+constexpr int declined_few = 5;                       // of the last hundred txns
 constexpr Span hold_step = 25ms;
 }  // namespace
 
@@ -631,7 +652,8 @@
       exposure_(exposure),
       trial_(trial),
       chance_(chance),
-      again_(again_kept) {}
+      again_(again_kept),
+      declined_(again_kept) {}
 
 void Txns::arrived(const Arrival& asked, Span now) {
   txns_[asked.txn] = Txn{.asked = asked, .taken = now};
@@ -735,7 +757,9 @@
       young += nodes[n].size * nodes_.warmth(n, now);
   }
   if (old == 0) return 1;
-  double places = exposure_.in_place() ? all : std::max(old, young);
+  // While txns are declined for want of room, all machines share alike: none can idle beside full ones, and
+  // full ones would look slow beside idle ones.
+  double places = exposure_.in_place() || count(declined_) > declined_few ? all : std::max(old, young);
   double able = std::min(1.0, most_load * young / places);
   return exposure_.on_trial(newest) ? std::min(cap_used * exposure_.cap(newest), able) : able;
 }
@@ -774,10 +798,10 @@
   return std::min(from_millis(part * millis(sla)), txn.asked.expiry - now);
 }
 
-int Txns::again() const {
-  int again = 0;
-  for (std::size_t i = 0; i < again_.size(); ++i) again += again_.back(i);
-  return again;
+int Txns::count(const Samples<char>& of) {
+  int sum = 0;
+  for (std::size_t i = 0; i < of.size(); ++i) sum += of.back(i);
+  return sum;
 }
 
 int Txns::place(const Txn& txn, Span now) {
@@ -812,6 +836,7 @@
   nodes_.sent(node, now);
   if (trial) exposure_.sent(txn.asked.product, now);
   again_.push(txn.submissions.size() > 1);
+  if (txn.submissions.size() == 1) declined_.push(false);
   ready_.push_back(id);
   return Decision{.action = Action::submit, .txn = id, .node = node};
 }
@@ -822,6 +847,7 @@
   bool repeatable = product.effect == Effect::inquiry ||
                     (product.effect == Effect::referenced && product.group == Group::all);
   bool decline = now < txn.asked.expiry && (repeatable || !may_have_run(txn));
+  if (txn.submissions.empty()) declined_.push(true);
   txn.over = true;
   forget(id);
   if (!decline) return Decision{.action = Action::give_up, .txn = id};
@@ -843,14 +869,14 @@
       look(id, txn, due);
       return {};
     }
-    if (again() >= copies_most || millis(left) < nodes_.usual_ms(txn.asked.product, 0.5)) return {};
+    if (count(again_) >= copies_most || millis(left) < nodes_.usual_ms(txn.asked.product, 0.5)) return {};
     int node = place(txn, now);
     return node < 0 ? std::nullopt : submit(id, txn, node, now);
   }
   if (left <= 2 * settings_.tick) return finish(id, txn, {}, now);
   // Repeats are rationed: in an overload they would feed it.
-  bool worth_it = txn.submissions.empty() ||
-                  (again() < again_most && millis(left) > 0.5 * nodes_.usual_ms(txn.asked.product, 0.5));
+  bool worth_it = txn.submissions.empty() || (count(again_) < again_most &&
+                                              millis(left) > 0.5 * nodes_.usual_ms(txn.asked.product, 0.5));
   if (!more || !worth_it) return finish(id, txn, settings_.max_pause, now);
   int node = place(txn, now);
   if (node >= 0) return submit(id, txn, node, now);
--- a/src/logic.h
+++ b/src/logic.h
@@ -98,18 +98,23 @@
 
  private:
   struct Counts {
-    double n = 0, failed = 0, lost = 0, timed = 0, sum = 0, squares = 0, whole = 0;
+    double n = 0, failed = 0, lost = 0, timed = 0, sum = 0, squares = 0, whole = 0, near = 0, due = 0;
   };
   struct Arm {
     std::map<int, Counts> by_node{};
+    std::map<long, Counts> by_time{};
     std::vector<Counts> by_product{};
     Counts all{};
     std::vector<double> sla_parts{};
+    Span oldest{};
+    double machines() const;      // warm ones that gave a few answers
+    double rate(Span now) const;  // answers of each in a second
   };
   Finding condemn(const std::string& why);
   bool shared_harm(double able, Span now);
   double pace() const;
-  void tally(Arm& arm, const Samples<Sample>& samples, Span from, const std::function<bool(int)>& skip) const;
+  void tally(Arm& arm, const Samples<Sample>& samples, Span from, const std::function<bool(int)>& skip,
+             Arm* beside = nullptr) const;
 
   GateSettings settings_;
   int products_;
@@ -164,7 +169,7 @@
   std::optional<Decision> finish(int id, Txn& txn, Span pause, Span now);
   int place(const Txn& txn, Span now);
   Span longest_wait(const Txn& txn, Span now) const;
-  int again() const;
+  static int count(const Samples<char>& of);
   bool may_go(const Txn& txn, int node, Span now) const;
   bool may_have_run(const Txn& txn) const;
   void look(int id, Txn& txn, Span at);
@@ -179,7 +184,7 @@
   std::deque<int> ready_{};
   std::deque<std::pair<int, int>> cancels_{};
   std::priority_queue<std::pair<Span, int>, std::vector<std::pair<Span, int>>, std::greater<>> looks_{};
-  Samples<char> again_;
+  Samples<char> again_, declined_;
 };
 
 class Umpire {
