--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -865,6 +865,10 @@
     if (txn.submissions.size() > 1) return {};
     Span due = txn.submissions.back().sent +
                from_millis(std::max(nodes_.usual_ms(txn.asked.product, 0.95), 0.35 * millis(product.sla)));
+    // A node that goes on answering others works on it: a copy would only do long work twice.
+    Span heard = nodes_.all()[txn.submissions.back().node].heard_at;
+    if (heard > txn.submissions.back().sent)
+      due = std::max(due, heard + (due - txn.submissions.back().sent) / 2);
     if (now < due) {
       look(id, txn, due);
       return {};
