--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -21,7 +21,7 @@
 constexpr Span result_life = 5s;     // health goes by results no older than this
 constexpr Span first_bench = 500ms;  // a node that lost two in a row rests so long, then doubling
 constexpr Span failing_rest = 2s;    // a failing node is tried again after so long without a failure
-constexpr Span full_rest = 100ms;    // a node that turned work away
+constexpr Span full_rest = 100ms;    // a node that turned work away, doubling while it does
 constexpr double cold_margin = 0.6;  // part of what the cold rule allows that is used
 constexpr Span ask_pause_least = 400ms, ask_pause_most = 3s;
 }  // namespace
@@ -50,8 +50,8 @@
     // A new start or another build is another process: what was known of the old one says nothing.
     if (!node.listed || node.started != entry.started || node.build != entry.build) {
       node.results = Samples<Result>(results_kept);
-      node.dead_run = 0;
-      node.heard_at = node.full_at = long_ago;
+      node.dead_run = node.full_run = 0;
+      node.heard_at = node.full_at = node.back_at = long_ago;
     }
     node.listed = true;
     node.phase = entry.phase;
@@ -65,10 +65,13 @@
 
 bool Nodes::open(int n) const { return nodes_[n].listed && nodes_[n].phase == NodePhase::in; }
 
+// A node that answers again after it was lost has probably started anew, whatever the list still says: guards
+// against pushing over machines whose restart is told late. After a mere cut it costs some seconds of care.
 double Nodes::warmth(int n, Span now) const {
   const Node& node = nodes_[n];
-  if (node.started == Span{} || now >= node.started + settings_.cold_for) return 1;
-  double age = std::max(0.0, seconds(now - node.started) / seconds(settings_.cold_for));
+  Span started = std::max(node.started == Span{} ? long_ago : node.started, node.back_at);
+  if (now >= started + settings_.cold_for) return 1;
+  double age = std::max(0.0, seconds(now - started) / seconds(settings_.cold_for));
   return settings_.cold_from + (1 - settings_.cold_from) * age;
 }
 
@@ -90,9 +93,11 @@
       node.dead_at = now;
     }
   } else {
+    if (node.dead_run >= 2) node.back_at = now;
     node.dead_run = 0;
     node.heard_at = now;
   }
+  node.full_run = outcome == Outcome::full ? node.full_run + 1 : 0;
   if (outcome == Outcome::full) {
     node.full_at = now;
     return;
@@ -153,7 +158,7 @@
   Node& node = nodes_[n];
   if (warmth(n, now) >= 1) return true;
   while (!node.sends.empty() && node.sends.front() < now - settings_.fall_window) node.sends.pop_front();
-  double then = warmth(n, std::max(node.started, now - settings_.fall_window / 2));
+  double then = warmth(n, std::max({node.started, node.back_at, now - settings_.fall_window / 2}));
   double most = cold_margin * settings_.fall_multiple * then * fair_ * node.size;
   return node.sends.size() < std::max(1.0, most);
 }
@@ -170,7 +175,8 @@
 // are poorly: then choose() falls back on the least bad.
 bool Nodes::well(int n, Span now) {
   Node& node = nodes_[n];
-  if (now < node.full_at + full_rest) return false;
+  if (node.full_run > 0 && now < node.full_at + full_rest * (1 << std::min(node.full_run - 1, 4)))
+    return false;
   if (!node.out.empty() && node.heard_at < node.out.front() && now - node.out.front() > patience())
     return false;
   int failed = 0, seen = 0;
@@ -330,9 +336,10 @@
 namespace {
 constexpr std::size_t fresh_kept = 600, older_kept = 800, firsts_kept = 200;
 constexpr double least_submissions = 10;  // the source's minimum before a stage is judged
-constexpr double like_load = 1.4;         // a trial machine's traffic against an older one's
-constexpr Span same_time = 2s;            // outcomes of both builds are compared in spans of this
-constexpr Span least_window = 4s;         // from the latest start in the stage
+constexpr double most_compared = 0.9;  // of the cap: beyond, the older machines are idle or on their way out
+constexpr double like_load = 1.4;      // a trial machine's traffic against an older one's
+constexpr Span same_time = 2s;         // outcomes of both builds are compared in spans of this
+constexpr Span least_window = 4s;      // from the latest start in the stage
 constexpr double failure_threshold = 0.03, flood_threshold = 0.2;  // beside older machines, and without
 constexpr double beyond_chance = 0.001;  // how unlikely failures must be before they count as the build's
 constexpr double machine_spread = 0.22;  // of the logarithm of a machine's latency, load included
@@ -387,10 +394,11 @@
     if (sample.at < from) break;
     if (skip(sample.node)) continue;
     arm.oldest = sample.at;
-    double log_ratio = std::log(std::clamp(sample.ratio, 0.05, 20.0));
     long time = sample.at / same_time;
     const Counts then = beside ? beside->by_time[time] : Counts{};
     bool near = !beside || then.n >= 3;
+    double usual = beside && then.timed > 0 ? then.sum / then.timed : 0;
+    double log_ratio = std::log(std::clamp(sample.ratio, 0.05, 20.0)) - usual;
     for (Counts* counts :
          {&arm.by_node[sample.node], &arm.by_product[sample.product], &arm.by_time[time], &arm.all}) {
       counts->n += 1;
@@ -398,7 +406,7 @@
       counts->due += near ? (then.failed + then.lost) / std::max(1.0, then.n) : 0;
       counts->failed += sample.failed;
       counts->lost += sample.lost && near;
-      if (!sample.warm) continue;
+      if (!sample.warm || (beside && then.timed < 3)) continue;
       counts->timed += 1;
       counts->sum += log_ratio;
       counts->whole += std::log(std::clamp(sample.sla_part, 0.001, 10.0));
@@ -470,7 +478,6 @@
   auto none = [](int) { return false; };
   Arm old, young;
   tally(old, older_, stage_at_, none);
-  double old_now = old.all.n;
   if (old.all.n < 2 * least_submissions) {
     old = {};
     tally(old, older_, long_ago, none);
@@ -481,7 +488,7 @@
   // trial has many, a small part of its machines that are poorly is left out. It hurts where a bad build and
   // machine trouble meet, until more machines of the build run.
   auto poorly = [](const Counts& c) {
-    return (c.n >= 3 && c.failed >= 2 && c.failed >= 0.12 * c.n) ||
+    return (c.n >= 3 && c.failed + c.lost >= 2 && c.failed + c.lost >= 0.12 * c.n) ||
            (c.timed >= 5 && c.sum >= std::log(1.8) * c.timed);
   };
   auto poorly_in = [&](const Arm& arm) {
@@ -503,8 +510,9 @@
   // Each failure is set against the older build's at the same time: troubles that come while the trial's
   // machines are still few or cold would else look like the build's. Without older machines beside it only a
   // flood of errors speaks, for overload, cut links and other services lose answers of good builds too.
+  bool compared = rel_->phase == RelPhase::trial && rel_->cap < most_compared;
   auto failing = [&](const Counts& c, const Counts& base) {
-    bool beside = 2 * c.near >= c.n;
+    bool beside = compared && 2 * c.near >= c.n;
     double failed = c.failed + beside * c.lost;
     double usual = std::max(0.01, (base.failed + beside * base.lost + 0.5) / (base.n + 25));
     double luck = tail(failed, std::max(usual * c.n, beside * c.due));
@@ -553,14 +561,14 @@
   // against the older build's, which sees it long before a p99 of a few answers can. Both need machines of
   // the older build under a like load: while a fleet is swapped in place the rest of it says nothing, nor do
   // machines left idle.
-  if (2 * old_nodes >= young_nodes && young.rate(now) < like_load * old.rate(now) && young.all.timed >= 20 &&
-      old_now >= 20 && old.all.timed >= 20 && rel_->phase == RelPhase::trial) {
+  if (compared && 2 * old_nodes >= young_nodes && young.rate(now) < like_load * old.rate(now) &&
+      young.all.timed >= 20 && old.all.timed >= 20) {
     double young_p99 = quantile(young.sla_parts, 0.99), old_p99 = quantile(old.sla_parts, 0.99);
     auto mean = [](const Counts& c) { return c.sum / c.timed; };
     auto spread = [&](const Counts& c) {
       return std::max(0.0, c.squares / c.timed - mean(c) * mean(c)) / c.timed;
     };
-    double apart = mean(young.all) - mean(old.all);
+    double apart = mean(young.all);  // as tallied, against the older build's at the same time
     // Machines differ among themselves: few machines tell little, however many answers they gave.
     double machines = machine_spread * machine_spread * (1 / young.machines() + 1 / old.machines());
     double error = std::sqrt(spread(young.all) + spread(old.all) + machines);
--- a/src/state.h
+++ b/src/state.h
@@ -124,7 +124,9 @@
   int zone = 0, cell = 0, build = 0;
   double size = 1;
   Span started{};
-  int dead_run = 0;  // submissions lost in a row without any reply
+  int dead_run = 0;         // submissions lost in a row without any reply
+  int full_run = 0;         // submissions turned away in a row
+  Span back_at = long_ago;  // answered again after it was taken for dead
   Span dead_at = long_ago, heard_at = long_ago, full_at = long_ago;
   std::vector<Span> out{};   // when the submissions still out were sent
   std::deque<Span> sends{};  // sends within the rule's window while cold
