--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -337,7 +337,7 @@
 constexpr std::size_t fresh_kept = 600, older_kept = 800, firsts_kept = 200;
 constexpr double least_submissions = 10;  // the source's minimum before a stage is judged
 constexpr double most_compared = 0.9;  // of the cap: beyond, the older machines are idle or on their way out
-constexpr double like_load = 1.4;      // a trial machine's traffic against an older one's
+constexpr double like_load = 2.2;      // a trial machine's traffic against an older one's
 constexpr Span same_time = 2s;         // outcomes of both builds are compared in spans of this
 constexpr Span least_window = 4s;      // from the latest start in the stage
 constexpr double failure_threshold = 0.03, flood_threshold = 0.2;  // beside older machines, and without
@@ -562,7 +562,7 @@
   // the older build under a like load: while a fleet is swapped in place the rest of it says nothing, nor do
   // machines left idle.
   if (compared && 2 * old_nodes >= young_nodes && young.rate(now) < like_load * old.rate(now) &&
-      young.all.timed >= 20 && old.all.timed >= 20) {
+      young.all.timed >= least_submissions && old.all.timed >= 2 * least_submissions) {
     double young_p99 = quantile(young.sla_parts, 0.99), old_p99 = quantile(old.sla_parts, 0.99);
     auto mean = [](const Counts& c) { return c.sum / c.timed; };
     auto spread = [&](const Counts& c) {
