--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -488,8 +488,7 @@
   // trial has many, a small part of its machines that are poorly is left out. It hurts where a bad build and
   // machine trouble meet, until more machines of the build run.
   auto poorly = [](const Counts& c) {
-    return (c.n >= 3 && c.failed + c.lost >= 2 && c.failed + c.lost >= 0.12 * c.n) ||
-           (c.timed >= 5 && c.sum >= std::log(1.8) * c.timed);
+    return c.n >= 3 && c.failed + c.lost >= 2 && c.failed + c.lost >= 0.12 * c.n;
   };
   auto poorly_in = [&](const Arm& arm) {
     return std::count_if(arm.by_node.begin(), arm.by_node.end(), [&](auto& c) { return poorly(c.second); });
@@ -568,15 +567,27 @@
     auto spread = [&](const Counts& c) {
       return std::max(0.0, c.squares / c.timed - mean(c) * mean(c)) / c.timed;
     };
+    // A build slows all its machines, a slow machine only itself. One machine alone tells nothing while one
+    // of the older build is as slow.
+    auto slow = [](double least, double answers) {
+      return [=](auto& c) {
+        return c.second.timed >= answers && c.second.sum > std::log(least) * c.second.timed;
+      };
+    };
+    long slow_ones = std::count_if(young.by_node.begin(), young.by_node.end(), slow(1.3, 3));
+    bool most_slow =
+        3 * young.machines() <= 4 * slow_ones &&
+        (slow_ones > 1 || std::none_of(lately.by_node.begin(), lately.by_node.end(), slow(1.5, 2)));
     double apart = mean(young.all);  // as tallied, against the older build's at the same time
     // Machines differ among themselves: few machines tell little, however many answers they gave.
     double machines = machine_spread * machine_spread * (1 / young.machines() + 1 / old.machines());
     double error = std::sqrt(spread(young.all) + spread(old.all) + machines);
     // A p99 of so few answers is one machine's bad second; the middle must have moved too.
-    if (young.all.timed >= 100 && young_p99 > 1 && young_p99 > 2 * old_p99 && apart > 0.42 && window)
+    if (young.all.timed >= 100 && young_p99 > 1 && young_p99 > 2 * old_p99 && apart > 0.42 && window &&
+        most_slow)
       return condemn(figures("p99 in SLA times", young_p99, old_p99));
     doubtful |= apart > 0.4 && apart > 1.7 * error;
-    if ((window && apart > 0.42 && apart - 2 * error > 0.18) || apart - 3 * error > 0.35)
+    if (most_slow && ((window && apart > 0.42 && apart - 2 * error > 0.18) || apart - 3 * error > 0.35))
       return condemn(figures("times the older's latency", std::exp(apart), std::exp(error)));
   }
 
