--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -658,7 +658,8 @@
 namespace {
 constexpr double cap_used = 0.9;   // part of the cap that first attempts fill
 constexpr double most_load = 1.0;  // a trial machine's load against a usual machine's
-constexpr std::size_t again_kept = 100;
+constexpr std::size_t again_kept = 100, tenants_kept = 200;
+constexpr double share_slack = 1.1;
 constexpr int copies_most = 8, again_most = 20;  // of the last hundred submissions, so many may be repeats
 constexpr double wait_least = 0.45, wait_more = 0.3;  // of the SLA time, by the txn's revenue
 constexpr int declined_few = 5;                       // of the last hundred txns
@@ -672,9 +673,11 @@
       trial_(trial),
       chance_(chance),
       again_(again_kept),
-      declined_(again_kept) {}
+      declined_(again_kept),
+      tenants_(tenants_kept) {}
 
 void Txns::arrived(const Arrival& asked, Span now) {
+  tenants_.push(asked.tenant);
   txns_[asked.txn] = Txn{.asked = asked, .taken = now};
   ready_.push_back(asked.txn);
 }
@@ -814,9 +817,21 @@
     if (other.revenue >= product.revenue) sla = std::min(sla, other.sla);
   }
   double part = wait_least + wait_more * (most > 0 ? product.revenue / most : 1);
+  // In an overload what a tenant sends beyond its share is worth little: it joins shorter queues.
+  if (count(declined_) > declined_few && over_share(txn.asked.tenant)) part *= 0.7;
   return std::min(from_millis(part * millis(sla)), txn.asked.expiry - now);
 }
 
+// Whether a tenant takes more of our txns than its part of all allowances. Only meant for an overload, when
+// the sum of allowances is used up: below it a tenant may well use more than its part.
+bool Txns::over_share(int tenant) const {
+  if (tenant >= static_cast<int>(settings_.tenants.size())) return false;
+  double all = 0, its = 0;
+  for (const Tenant& other : settings_.tenants) all += other.allowance_per_s;
+  for (std::size_t i = 0; i < tenants_.size(); ++i) its += tenants_.back(i) == tenant;
+  return its * all > share_slack * settings_.tenants[tenant].allowance_per_s * tenants_.size();
+}
+
 int Txns::count(const Samples<char>& of) {
   int sum = 0;
   for (std::size_t i = 0; i < of.size(); ++i) sum += of.back(i);
--- a/src/logic.h
+++ b/src/logic.h
@@ -169,6 +169,7 @@
   std::optional<Decision> finish(int id, Txn& txn, Span pause, Span now);
   int place(const Txn& txn, Span now);
   Span longest_wait(const Txn& txn, Span now) const;
+  bool over_share(int tenant) const;
   static int count(const Samples<char>& of);
   bool may_go(const Txn& txn, int node, Span now) const;
   bool may_have_run(const Txn& txn) const;
@@ -185,6 +186,7 @@
   std::deque<std::pair<int, int>> cancels_{};
   std::priority_queue<std::pair<Span, int>, std::vector<std::pair<Span, int>>, std::greater<>> looks_{};
   Samples<char> again_, declined_;
+  Samples<int> tenants_;
 };
 
 class Umpire {
--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -59,7 +59,7 @@
     Outcome outcome;
   };
   struct Stream {
-    int product;
+    int product, tenant;
     double every_ms, expiry;
     Span next;
   };
@@ -71,7 +71,7 @@
   std::map<std::string, Reply> replies;
   std::vector<Due> dues;
   std::vector<Stream> streams;
-  std::map<int, int> sends;
+  std::map<int, int> sends, tenant_of;
   std::set<int> ended;
   std::map<std::string, double> counts;
   Outcome vote_answer = Outcome::ok;
@@ -112,6 +112,7 @@
           if (!ended.insert(d->txn).second) note("ended twice");
           note(d->action == Action::decline ? "declined" : "voided");
           note((d->action == Action::decline ? "declined " : "voided ") + who);
+          note("ended tenant " + std::to_string(tenant_of[d->txn]));
           if (d->span > Span{}) note("advice");
           break;
         case Action::vote: {
@@ -138,10 +139,11 @@
     umpire->submission_ended(txn, submission, how, settled, {}, now);
   }
 
-  void arrive(const std::string& name, int product, double expiry, const std::string& key) {
+  void arrive(const std::string& name, int product, double expiry, const std::string& key, int tenant = 0) {
     int id = next_txn++;
     if (!name.empty()) txn_names[name] = id;
-    umpire->txn_arrived({id, product, 0, now + ms(expiry), 0, key, false}, now);
+    tenant_of[id] = tenant;
+    umpire->txn_arrived({id, product, tenant, now + ms(expiry), 0, key, false}, now);
     pull();
   }
 
@@ -157,7 +159,7 @@
       }
       for (Stream& stream : streams)
         for (; stream.next <= now; stream.next += ms(stream.every_ms))
-          arrive("", stream.product, stream.expiry, "");
+          arrive("", stream.product, stream.expiry, "", stream.tenant);
       pull();
     }
   }
@@ -204,6 +206,10 @@
       txns.products.push_back({ms(300), ms(750), ms(num(2)), effect, group, 1, 0, false});
       return;
     }
+    if (w[0] == "tenant") {  // tenant ALLOWANCE_PER_S
+      txns.tenants.push_back({0.5, num(1)});
+      return;
+    }
     if (!umpire) umpire = std::make_unique<Umpire>(salt, nodes, exposure, gate, txns);
     if (w[0] == "node") {  // node NAME BUILD in|lame|out [started seconds ago] [zone] [cell]
       auto [at, fresh] = names.try_emplace(w[1], static_cast<int>(builds.size()));
@@ -228,9 +234,10 @@
       bool never = w[2] == "never";
       replies[w[1]] = {num(2), never ? Outcome::ok : outcome(w[3]),
                        w.size() > 4 ? static_cast<int>(num(4)) : 1, 0, never};
-    } else if (w[0] == "traffic") {  // traffic PRODUCT EVERY_MS; 0 stops it
-      streams.clear();
-      if (num(2) > 0) streams.push_back({static_cast<int>(num(1)), num(2), 750, now});
+    } else if (w[0] == "traffic" || w[0] == "also") {  // traffic|also PRODUCT EVERY_MS [TENANT]; 0 stops it
+      if (w[0] == "traffic") streams.clear();
+      if (num(2) > 0)
+        streams.push_back({static_cast<int>(num(1)), static_cast<int>(num(3)), num(2), 750, now});
     } else if (w[0] == "run") {
       run(num(1));
     } else if (w[0] == "txn") {  // txn NAME PRODUCT [EXPIRY_MS] [KEY]
