--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -343,8 +343,10 @@
 constexpr double failure_threshold = 0.03, flood_threshold = 0.2;  // beside older machines, and without
 constexpr double beyond_chance = 0.001;  // how unlikely failures must be before they count as the build's
 constexpr double machine_spread = 0.22;  // of the logarithm of a machine's latency, load included
-constexpr Span shared_window = 1500ms;   // so long must the whole fleet be slower,
-constexpr double shared_slow = 1.7, shared_load = 1.3;  // by this, at no more than this times the load
+constexpr Span pace_window = 2s;
+constexpr Span shared_window = 1500ms;  // so long must the whole fleet be slower,
+constexpr double shared_before = 1.4, shared_slow = 1.7,
+                 shared_load = 1.3;  // by this, at no more than this times the load
 constexpr Span clock_lag = 500ms;    // a step is near its end so long after latest start and step time
 constexpr Span poorly_memory = 10s;  // machines of the older build that were poorly so lately
 constexpr Span hold_few = 1s;        // or so long when figures are merely few
@@ -370,6 +372,7 @@
   if (moved) {
     // Counters reset per stage, as in the source.
     stage_at_ = now - rel.since;
+    look_at_fleet_ = true;
     held_from_ = long_ago;
     fresh_.clear();
   }
@@ -421,20 +424,22 @@
 }
 
 // First tries a second of late.
-double Trial::pace() const {
-  if (firsts_.size() < 2) return 0;
-  return (firsts_.size() - 1) / std::max(0.01, seconds(firsts_.back(0) - firsts_.back(firsts_.size() - 1)));
+double Trial::pace(Span now) const {
+  std::size_t seen = 0;
+  while (seen < firsts_.size() && firsts_.back(seen).count() > (now - pace_window).count()) ++seen;
+  Span since = seen > 0 && seen == firsts_.size() ? firsts_.back(seen - 1) : now - pace_window;
+  return static_cast<double>(seen) / std::max(0.01, seconds(now - since));
 }
 
 // A release may slow all machines, old and new alike; beside the older build it then looks well. Guards
 // against any harm that the trial does to the whole fleet: nearly all of the older build's machines answer
-// much slower than before the offer, though they are no busier with our txns. It errs where other umpires'
-// traffic jumps during a trial and ours does not.
+// much slower than before the offer, though they are no busier with our txns and were not so in stage 0. It
+// errs where other umpires' traffic jumps during a trial and ours does not.
 bool Trial::shared_harm(double able, Span now) {
   Arm old;
   tally(old, older_, now - shared_window, [](int) { return false; });
-  if (!usual_part_ || old.all.timed < 30 || able <= 0 || usual_load_ <= 0) return false;
-  double load = std::max(1.0, pace() / able / usual_load_);
+  if (!usual_part_ || rel_->stage == 0 || old.all.timed < 30 || able <= 0 || usual_load_ <= 0) return false;
+  double load = std::max(1.0, pace(now) / able / usual_load_);
   if (load > shared_load) return false;
   // Queues grow faster than the load: so much more is asked of the slowness.
   double slower = std::log(shared_slow * load * load);
@@ -463,18 +468,21 @@
   if (!rel_ || (rel_->phase != RelPhase::trial && !(rel_->phase == RelPhase::released && seen_on_trial_)))
     return {};
   if (condemned_.verdict == Verdict::back) return condemned_;
-  if (!usual_part_ && rel_->phase == RelPhase::trial && rel_->stage == 0 && fresh_.size() == 0) {
+  if (look_at_fleet_ && rel_->phase == RelPhase::trial && rel_->stage <= 1) {
     Arm before;
-    tally(before, older_, long_ago, [](int) { return false; });
-    if (before.all.timed >= 50 && able > 0) {
-      usual_part_ = before.all.whole / before.all.timed;
-      usual_load_ = pace() / able;
-    }
+    tally(before, older_, now - 2 * shared_window, [](int) { return false; });
+    bool known = before.all.timed >= 30 && able > 0;
+    double part = known ? before.all.whole / before.all.timed : 0;
+    if (rel_->stage == 0 && known) usual_load_ = pace(now) / able;
+    if (rel_->stage == 0 && known) usual_part_ = part;
+    // Slow before the build had much traffic: something else is going on.
+    if (rel_->stage == 1 && usual_part_ && part > *usual_part_ + std::log(shared_before)) usual_part_.reset();
   }
+  look_at_fleet_ = false;
   if (rel_->phase != RelPhase::trial || fresh_.size() < least_submissions / 2 || !shared_harm(able, now))
     slow_from_ = now;
   if (now - slow_from_ >= shared_window)
-    return condemn(figures("all slower; load", pace() / able, usual_load_));
+    return condemn(figures("all slower; load", pace(now) / able, usual_load_));
   auto none = [](int) { return false; };
   Arm old, young;
   tally(old, older_, stage_at_, none);
@@ -942,19 +950,12 @@
       ballot_(gate),
       txns_(txns, nodes_, exposure_, trial_, chance_) {}
 
-void Umpire::list_news(ListNews kind, const std::vector<NodeNews>& entries, Span now) {
-  nodes_.news(kind, entries, now);
-}
-
 void Umpire::txn_arrived(const Arrival& txn, Span now) {
   exposure_.taken(txn.product, now);
   trial_.taken(txn.repeat, now);
   txns_.arrived(txn, now);
 }
 
-void Umpire::stream_began(int txn) { txns_.streaming(txn); }
-void Umpire::txn_left(int txn) { txns_.left(txn); }
-
 void Umpire::submission_ended(int id, int index, Outcome outcome, bool settled, const Load& load, Span now) {
   const Txn* txn = txns_.find(id);
   if (!txn || index >= static_cast<int>(txn->submissions.size())) return;
@@ -989,7 +990,6 @@
   ballot_.news(rel);
 }
 
-void Umpire::vote_answered(Outcome outcome, Span now) { ballot_.answered(outcome, now); }
 void Umpire::answer_flagged(int node, Span) { trial_.flagged(nodes_.all()[node].build); }
 void Umpire::probe_ended(int node, Outcome, const Load& load, Span) { nodes_.report(node, load); }
 
--- a/src/logic.h
+++ b/src/logic.h
@@ -112,7 +112,7 @@
   };
   Finding condemn(const std::string& why);
   bool shared_harm(double able, Span now);
-  double pace() const;
+  double pace(Span now) const;
   void tally(Arm& arm, const Samples<Sample>& samples, Span from, const std::function<bool(int)>& skip,
              Arm* beside = nullptr) const;
 
@@ -125,6 +125,7 @@
   Span stage_at_{}, held_from_ = long_ago;
   Samples<Sample> fresh_, older_;
   Samples<Span> firsts_;
+  bool look_at_fleet_ = false;          // a stage has begun
   std::optional<double> usual_part_{};  // the fleet before the offer: mean log of latency over SLA time,
   double usual_load_ = 0;               // and txns taken for each node's worth of capacity
   Span slow_from_ = long_ago;
@@ -196,13 +197,15 @@
   Umpire(const Umpire&) = delete;
   Umpire& operator=(const Umpire&) = delete;
 
-  void list_news(ListNews kind, const std::vector<NodeNews>& entries, Span now);
+  void list_news(ListNews kind, const std::vector<NodeNews>& entries, Span now) {
+    nodes_.news(kind, entries, now);
+  }
   void txn_arrived(const Arrival& txn, Span now);
-  void stream_began(int txn);
+  void stream_began(int txn) { txns_.streaming(txn); }
   void submission_ended(int txn, int submission, Outcome outcome, bool settled, const Load& load, Span now);
-  void txn_left(int txn);
+  void txn_left(int txn) { txns_.left(txn); }
   void release_news(const RelNews& rel, Span now);
-  void vote_answered(Outcome outcome, Span now);
+  void vote_answered(Outcome outcome, Span now) { ballot_.answered(outcome, now); }
   void answer_flagged(int node, Span age);
   void probe_ended(int node, Outcome outcome, const Load& load, Span now);
 
