--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -251,7 +251,7 @@
     else if (wait(n, now) > longest)
       ++busy;
     else
-      (nodes_[n].zone == settings_.zone ? near : far).push_back(n);
+      (this->near(n) ? near : far).push_back(n);
   }
   if (poorly.size() > 2 * (near.size() + far.size() + busy)) return better_of_two(poorly, now, chance);
   int a = better_of_two(near, now, chance), b = better_of_two(far, now, chance);
@@ -595,7 +595,7 @@
         most_slow)
       return condemn(figures("p99 in SLA times", young_p99, old_p99));
     doubtful |= apart > 0.4 && apart > 1.7 * error;
-    if (most_slow && ((window && apart > 0.42 && apart - 2 * error > 0.18) || apart - 3 * error > 0.35))
+    if (most_slow && ((window && apart > 0.42 && apart - 2 * error > 0.28) || apart - 3 * error > 0.35))
       return condemn(figures("times the older's latency", std::exp(apart), std::exp(error)));
   }
 
@@ -966,10 +966,10 @@
   nodes_.report(one.node, load);
   const Node& node = nodes_.all()[one.node];
   // A machine that stops answering swallows many submissions; they count as one failure of the build.
-  // A cold machine's late answers tell nothing.
+  // A cold machine's late answers tell nothing, nor do answers lost on the way to another zone.
   bool warm = nodes_.warmth(one.node, one.sent) >= 1;
-  bool counts =
-      outcome == Outcome::ok || outcome == Outcome::error || (lost(outcome) && node.dead_run <= 1 && warm);
+  bool counts = outcome == Outcome::ok || outcome == Outcome::error ||
+                (lost(outcome) && node.dead_run <= 1 && warm && nodes_.near(one.node));
   if (counts && node.build == one.build) {
     trial_.noted(one.build,
                  {now, one.node, asked.product, outcome == Outcome::error, lost(outcome), warm,
--- a/src/logic.h
+++ b/src/logic.h
@@ -27,6 +27,7 @@
   double sla_part(int product, Span took) const;
   double usual_ms(int product, double part);
   bool open(int node) const;
+  bool near(int node) const { return nodes_[node].zone == settings_.zone; }
   bool has_room(int node, Span now);
   bool resting(int node, Span now) const;
   bool well(int node, Span now);
