Tidy: one loop bound for recent results, one newest(), dead members out

The walk over recent results stood in well, cost and wait, the newest open build in trial_share and place; Trial's warm-up time, Txns' trial and Submission's trial mark were not used.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -107,9 +107,8 @@
   bool well = outcome == Outcome::ok || (outcome == Outcome::timeout && node.heard_at >= submission.sent);
   node.results.push({now, well, ratio(txn.product, took, txn.hint_ms), took, submission.in_hand});
   if (outcome != Outcome::ok) return;
-  // What one warm node carries, for the cold rule. Only warm nodes count, and all that answered in the
-  // window, also those gone since: else a fleet nearly all cold, or one being swapped, looks far more able
-  // than it is.
+  // What one warm node carries, for the cold rule. Only warm nodes count, with all that answered, also those
+  // gone since: else a fleet nearly all cold, or one being swapped, looks far more able than it is.
   if (warmth(submission.node, submission.sent) < 1) return;
   settled_.push_back({now, submission.node});
   while (settled_.front().first < now - settings_.fall_window) settled_.pop_front();
@@ -176,6 +175,13 @@
   return now < node.dead_at + rest || !node.out.empty();
 }
 
+// How many of the last results are young enough to tell of the node's health.
+static std::size_t recent(const Node& node, Span now) {
+  std::size_t seen = 0;
+  while (seen < node.results.size() && node.results.back(seen).at >= now - result_life) ++seen;
+  return seen;
+}
+
 // Guards against nodes that swallow, fail or turn away work, whatever the cause. It hurts when all nodes
 // are poorly: then choose() falls back on the least bad.
 bool Nodes::well(int n, Span now) {
@@ -184,20 +190,26 @@
     return false;
   if (!node.out.empty() && node.heard_at < node.out.front() && now - node.out.front() > patience())
     return false;
-  int failed = 0, seen = 0;
+  const std::size_t young = recent(node, now);
+  std::size_t failed = 0;
   Span last = long_ago;
-  for (std::size_t i = 0; i < node.results.size(); ++i) {
+  for (std::size_t i = 0; i < young; ++i) {
     const Result& result = node.results.back(i);
-    if (result.at < now - result_life) break;
-    ++seen;
     if (result.ok) continue;
     ++failed;
     last = std::max(last, result.at);
   }
-  if (failed >= 3 && failed * 4 >= seen) return now > last + failing_rest && node.out.empty();
+  if (failed >= 3 && failed * 4 >= young) return now > last + failing_rest && node.out.empty();
   return true;
 }
 
+int Nodes::newest() const {
+  int build = -1;
+  for (int n = 0; n < static_cast<int>(nodes_.size()); ++n)
+    if (open(n)) build = std::max(build, nodes_[n].build);
+  return build;
+}
+
 // What the nodes in use are able to do, in usual nodes.
 double Nodes::able(Span now) const {
   double sum = 0;
@@ -209,16 +221,14 @@
 // Own txns in flight, weighed by size, warmth and how slow the node's last answers were.
 double Nodes::cost(int n, Span now) {
   const Node& node = nodes_[n];
-  double sum = 0, seen = 0;
-  for (std::size_t i = 0; i < node.results.size(); ++i) {
+  const std::size_t young = recent(node, now);
+  double sum = 0;
+  for (std::size_t i = 0; i < young; ++i) {
     const Result& result = node.results.back(i);
-    if (result.at < now - result_life) break;
     sum += std::clamp(result.ratio, 0.3, 8.0);
-    ++seen;
   }
-  double slow = std::max(1.0, (sum + 3) / (seen + 3) / 1.3);
-  // A fresh report tells of others' work there; half of it, for it is old by now and all umpires hear the
-  // same.
+  double slow = std::max(1.0, (sum + 3) / (static_cast<double>(young) + 3) / 1.3);
+  // A fresh report tells of others' work there; half of it counts, as all umpires hear the same and late.
   double own = static_cast<double>(node.out.size());
   const Load load = now < node.load_at + report_life ? node.load : Load{};
   double others = std::max(0.0, load.held.value_or(own) - own) / 2;
@@ -231,10 +241,10 @@
 // build that needs more work. It may shed too early when few answers have been seen.
 Span Nodes::wait(int n, Span now) {
   const Node& node = nodes_[n];
+  const std::size_t young = recent(node, now);
   double took = 0, in_hand = 0;
-  for (std::size_t i = 0; i < node.results.size(); ++i) {
+  for (std::size_t i = 0; i < young; ++i) {
     const Result& result = node.results.back(i);
-    if (result.at < now - result_life) break;
     took += seconds(result.took);
     in_hand += result.in_hand;
   }
@@ -362,10 +372,9 @@
 constexpr Span hold_most = 4s;       // a stage is held up no longer than this for want of evidence
 }  // namespace
 
-Trial::Trial(const GateSettings& settings, int products, Span cold_for)
+Trial::Trial(const GateSettings& settings, int products)
     : settings_(settings),
       products_(products),
-      cold_for_(cold_for),
       fresh_(fresh_kept),
       older_(older_kept),
       firsts_(firsts_kept) {}
@@ -681,11 +690,10 @@
 constexpr Span hold_step = 25ms;
 }  // namespace
 
-Txns::Txns(const TxnSettings& settings, Nodes& nodes, Exposure& exposure, Trial& trial, Chance& chance)
+Txns::Txns(const TxnSettings& settings, Nodes& nodes, Exposure& exposure, Chance& chance)
     : settings_(settings),
       nodes_(nodes),
       exposure_(exposure),
-      trial_(trial),
       chance_(chance),
       again_(again_kept),
       declined_(again_kept),
@@ -707,7 +715,7 @@
   if (at != txns_.end()) at->second.streaming = true;
 }
 
-void Txns::ended(int id, int submission, Outcome outcome, bool settled, Span) {
+void Txns::ended(int id, int submission, Outcome outcome, bool settled) {
   auto at = txns_.find(id);
   if (at == txns_.end() || submission >= static_cast<int>(at->second.submissions.size())) return;
   Txn& txn = at->second;
@@ -775,10 +783,8 @@
 // The share of first attempts that the newest build is to get: 0.9 of the cap, but no more than its machines
 // can carry without working harder than `most_load` times a usual machine; they count by their warmth.
 double Txns::trial_share(Span now) {
-  int newest = -1;
+  int newest = nodes_.newest();
   const auto& nodes = nodes_.all();
-  for (int n = 0; n < static_cast<int>(nodes.size()); ++n)
-    if (nodes_.open(n)) newest = std::max(newest, nodes[n].build);
   double young = 0, old = 0, all = 0;
   for (int n = 0; n < static_cast<int>(nodes.size()); ++n) {
     if (!nodes_.open(n)) continue;
@@ -850,9 +856,7 @@
 
 int Txns::place(const Txn& txn, Span now) {
   const Product& product = settings_.products[txn.asked.product];
-  int newest = -1;
-  for (int n = 0; n < static_cast<int>(nodes_.all().size()); ++n)
-    if (nodes_.open(n)) newest = std::max(newest, nodes_.all()[n].build);
+  int newest = nodes_.newest();
   // A repeat goes to the older build where there is one: the trial's allowance is for first attempts.
   bool young = txn.submissions.empty() && draw(chance_) < trial_share(now);
   for (bool arm : {young, !young}) {
@@ -875,8 +879,7 @@
   txn.submissions.push_back({.node = node,
                              .build = build,
                              .sent = now,
-                             .in_hand = static_cast<int>(nodes_.all()[node].out.size()) + 1,
-                             .trial = trial});
+                             .in_hand = static_cast<int>(nodes_.all()[node].out.size()) + 1});
   nodes_.sent(node, now);
   if (trial) exposure_.sent(txn.asked.product, now);
   again_.push(txn.submissions.size() > 1);
@@ -948,9 +951,9 @@
     : chance_(salt),
       nodes_(nodes, txns.products),
       exposure_(exposure, static_cast<int>(txns.products.size()), txns.tick),
-      trial_(gate, static_cast<int>(txns.products.size()), nodes.cold_for),
+      trial_(gate, static_cast<int>(txns.products.size())),
       ballot_(gate),
-      txns_(txns, nodes_, exposure_, trial_, chance_) {}
+      txns_(txns, nodes_, exposure_, chance_) {}
 
 void Umpire::txn_arrived(const Arrival& txn, Span now) {
   exposure_.taken(txn.product, now);
@@ -983,7 +986,7 @@
     trial_.settled(one.build);
     exposure_.answered(asked.key, one.build);
   }
-  txns_.ended(id, index, outcome, settled, now);
+  txns_.ended(id, index, outcome, settled);
 }
 
 void Umpire::release_news(const RelNews& rel, Span now) {
--- a/src/logic.h
+++ b/src/logic.h
@@ -32,6 +32,7 @@
   bool resting(int node, Span now) const;
   bool well(int node, Span now);
   double warmth(int node, Span now) const;
+  int newest() const;
   double able(Span now) const;
   double cost(int node, Span now);
   Span wait(int node, Span now);
@@ -86,7 +87,7 @@
 // Per-stage evidence on the release on trial, and the verdict drawn from it.
 class Trial {
  public:
-  Trial(const GateSettings& settings, int products, Span cold_for);
+  Trial(const GateSettings& settings, int products);
   void news(const RelNews& rel, Span now);
   void noted(int build, const Sample& sample);
   void settled(int build) { answers_[build].first += 1; }
@@ -119,7 +120,6 @@
 
   GateSettings settings_;
   int products_;
-  Span cold_for_;
   std::optional<RelNews> rel_{};
   bool seen_on_trial_ = false;
   Finding condemned_{};
@@ -154,10 +154,10 @@
 // Txns: submissions, repeats, time-outs, declines and final answers.
 class Txns {
  public:
-  Txns(const TxnSettings& settings, Nodes& nodes, Exposure& exposure, Trial& trial, Chance& chance);
+  Txns(const TxnSettings& settings, Nodes& nodes, Exposure& exposure, Chance& chance);
   void arrived(const Arrival& txn, Span now);
   void streaming(int txn);
-  void ended(int txn, int submission, Outcome outcome, bool settled, Span now);
+  void ended(int txn, int submission, Outcome outcome, bool settled);
   void left(int txn);
   bool knows(int txn) const { return txns_.count(txn) > 0; }
   const Txn* find(int txn) const;
@@ -183,7 +183,6 @@
   TxnSettings settings_;
   Nodes& nodes_;
   Exposure& exposure_;
-  Trial& trial_;
   Chance& chance_;
   std::unordered_map<int, Txn> txns_{};
   std::deque<int> ready_{};
--- a/src/state.h
+++ b/src/state.h
@@ -139,7 +139,6 @@
   int node, build;
   Span sent;
   int in_hand;
-  bool trial;
   bool out = true, never_ran = false;
 };
 
