Each umpire keeps to its own even stretch of nodes, narrower where connections are refused

Cause: with many umpires each sent a node far less than one txn a second, so its queue and health stayed unknown and nearly every txn opened a connection. All umpires now see the nodes in the same order (digest of the id) and begin at evenly spread points; the stretch grows with the umpire's own pace.

--- a/src/benchlink/wire.cpp
+++ b/src/benchlink/wire.cpp
@@ -153,6 +153,7 @@
   const Json& safety = inner(params, "safety");
   NodeSettings settings{};
   settings.zone = whole(params, "zone");
+  settings.me = whole(params, "me");
   settings.cold_for = time_of(safety, "cold_ms");
   settings.fall_window = span(positive(safety, "fall_ms"));
   settings.ask_within = span(not_negative(safety, "ask_within_ms"));
@@ -209,6 +210,13 @@
   return at->second;
 }
 
+// Of an id, the same at every umpire (FNV-1a).
+std::uint64_t digest(const std::string& name) {
+  std::uint64_t sum = 14695981039346656037u;
+  for (unsigned char c : name) sum = (sum ^ c) * 1099511628211u;
+  return sum;
+}
+
 // -1 for an id that this life has dropped or never had.
 int find(const std::unordered_map<std::string, int>& known, const std::string& name) {
   auto at = known.find(name);
@@ -295,6 +303,7 @@
       news.started = span(number_or(entry, "ready_at_ms", 0));
       banks_[bank].push_back(news);
       bank_names_[bank].push_back(text(entry, "box"));
+      banks_[bank].back().order = digest(bank_names_[bank].back());
     }
     return;
   }
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -17,22 +17,23 @@
 }
 
 // Nodes
-constexpr std::size_t results_kept = 16, took_kept = 64;
+constexpr std::size_t results_kept = 16, took_kept = 64, sent_kept = 40;
 constexpr Span result_life = 5s;     // health goes by results no older than this
 constexpr Span first_bench = 500ms;  // a node that lost two in a row rests so long, then doubling
 constexpr Span report_life = 1s;     // a load report older than this tells nothing
 constexpr Span failing_rest = 2s;    // a failing node is tried again after so long without a failure
 constexpr Span full_rest = 100ms;    // a node that turned work away, doubling while it does
 constexpr double cold_margin = 0.6;  // part of what the cold rule allows that is used
+constexpr Span thin_life = 1s;       // one answer alone tells of a node's queue for so long
+constexpr double reach_pace = 2;     // submissions a second that an umpire's node should get from it,
+constexpr std::size_t reach_least = 4, reach_refused = 2;  // but so many nodes at least, or so few
+constexpr double refused_part = 0.15;                      // when this part of all connections is refused
 constexpr Span ask_pause_least = 400ms, ask_pause_most = 3s;
 }  // namespace
 
 Nodes::Nodes(const NodeSettings& settings, const std::vector<Product>& products)
-    : settings_(settings),
-      products_(products),
-      took_(products.size(), Samples<Took>(took_kept)),
-      sorted_(products.size()),
-      unsorted_(products.size(), 0),
+    : settings_(settings), products_(products), took_(products.size(), Samples<Took>(took_kept)),
+      sorted_(products.size()), unsorted_(products.size(), 0), sent_(sent_kept), refused_(sent_kept),
       ask_pause_(ask_pause_least) {}
 
 void Nodes::news(ListNews kind, const std::vector<NodeNews>& entries, Span now) {
@@ -59,9 +60,21 @@
     node.zone = entry.zone;
     node.cell = entry.cell;
     node.build = entry.build;
+    node.order = entry.order;
     node.size = settings_.sized && entry.size > 0 ? entry.size : 1;
     node.started = entry.started;
   }
+  newest_ = -1;
+  for (int n = 0; n < static_cast<int>(nodes_.size()); ++n)
+    if (open(n)) newest_ = std::max(newest_, nodes_[n].build);
+  for (auto& arm : rings_)
+    for (auto& ring : arm) ring.clear();
+  for (int n = 0; n < static_cast<int>(nodes_.size()); ++n)
+    if (open(n)) rings_[nodes_[n].build == newest_][near(n)].push_back(n);
+  for (auto& arm : rings_)
+    for (auto& ring : arm)
+      std::sort(ring.begin(), ring.end(),
+                [&](int a, int b) { return std::pair(nodes_[a].order, a) < std::pair(nodes_[b].order, b); });
 }
 
 bool Nodes::open(int n) const { return nodes_[n].listed && nodes_[n].phase == NodePhase::in; }
@@ -78,6 +91,7 @@
 
 void Nodes::sent(int n, Span now) {
   nodes_[n].out.push_back(now);
+  sent_.push(now);
   if (warmth(n, now) < 1) nodes_[n].sends.push_back(now);
 }
 
@@ -98,6 +112,7 @@
     node.dead_run = 0;
     node.heard_at = now;
   }
+  refused_.push(outcome == Outcome::no_connection);
   node.full_run = outcome == Outcome::full ? node.full_run + 1 : 0;
   if (outcome == Outcome::full) {
     node.full_at = now;
@@ -111,11 +126,13 @@
   // gone since: else a fleet nearly all cold, or one being swapped, looks far more able than it is.
   if (warmth(submission.node, submission.sent) < 1) return;
   settled_.push_back({now, submission.node});
-  while (settled_.front().first < now - settings_.fall_window) settled_.pop_front();
-  std::vector<char> seen(nodes_.size(), 0);
-  for (auto& [at, n] : settled_) seen[n] = 1;
-  for (int n = 0; n < static_cast<int>(nodes_.size()); ++n) seen[n] |= open(n) && warmth(n, now) >= 1;
-  fair_ = static_cast<double>(settled_.size()) / std::count(seen.begin(), seen.end(), 1);
+  ++node.settled;
+  while (settled_.front().first < now - settings_.fall_window) {
+    --nodes_[settled_.front().second].settled;
+    settled_.pop_front();
+  }
+  answering_ = 0;
+  for (const Node& each : nodes_) answering_ += each.settled > 0;
 }
 
 void Nodes::learn(int product, Span took, double hint_ms) {
@@ -163,7 +180,8 @@
   if (warmth(n, now) >= 1) return true;
   while (!node.sends.empty() && node.sends.front() < now - settings_.fall_window) node.sends.pop_front();
   double then = warmth(n, std::max({node.started, node.back_at, now - settings_.fall_window / 2}));
-  double most = cold_margin * settings_.fall_multiple * then * fair_ * node.size;
+  double most =
+      cold_margin * settings_.fall_multiple * then * node.size * settled_.size() / std::max(1, answering_);
   return node.sends.size() < std::max(1.0, most);
 }
 
@@ -203,13 +221,6 @@
   return true;
 }
 
-int Nodes::newest() const {
-  int build = -1;
-  for (int n = 0; n < static_cast<int>(nodes_.size()); ++n)
-    if (open(n)) build = std::max(build, nodes_[n].build);
-  return build;
-}
-
 // What the nodes in use are able to do, in usual nodes.
 double Nodes::able(Span now) const {
   double sum = 0;
@@ -248,7 +259,7 @@
     took += seconds(result.took);
     in_hand += result.in_hand;
   }
-  if (in_hand < results_kept / 4) return Span{};
+  if (in_hand < results_kept / 4 && (young == 0 || node.results.back(0).at < now - thin_life)) return Span{};
   return from_millis(1e3 * (node.out.size() + 1) * took / in_hand);
 }
 
@@ -261,21 +272,50 @@
   return cost(b, now) < cost(a, now) ? b : a;
 }
 
-// Two random choices among the well nodes of the own zone, or abroad where that is clearly better.
-int Nodes::choose(const std::function<bool(int)>& may, bool careful, Span longest, Span now, Chance& chance) {
-  std::vector<int> near, far, poorly;
+// How many nodes this umpire spreads over. One of many umpires that sent everywhere would know nothing young
+// of any node and open a connection for nearly every txn; so each keeps to a few, more the more it sends,
+// and to two where connections are refused right and left: then nodes take only so many umpires.
+std::size_t Nodes::reach(Span now) const {
+  double refused = 0;
+  for (std::size_t i = 0; i < refused_.size(); ++i) refused += refused_.back(i);
+  bool few = refused > std::max(2.0, refused_part * refused_.size());
+  std::size_t seen = sent_.size();
+  if (seen == 0) return reach_least;
+  double pace = seen / std::max(1.0, seconds(now - sent_.back(seen - 1)));
+  return std::max(few ? reach_refused : reach_least,
+                  static_cast<std::size_t>(std::ceil(pace / reach_pace / (few ? 5 : 1))));
+}
+
+// Two random choices among the well nodes of the umpire's own stretch of the ring, in the own zone, or abroad
+// where that is clearly better. All umpires see the nodes in the same order and begin at points spread
+// evenly (golden section), so that the stretches load all nodes alike; what rests is stepped over.
+int Nodes::choose(bool young, const std::function<bool(int)>& may, bool careful, Span longest, Span now,
+                  Chance& chance) {
+  std::vector<int> found[2], poorly;
   std::size_t busy = 0;
-  for (int n = 0; n < static_cast<int>(nodes_.size()); ++n) {
-    if (!open(n) || !may(n) || !has_room(n, now) || resting(n, now)) continue;
-    if (!well(n, now) || (careful && nodes_[n].dead_run > 0))
-      poorly.push_back(n);
-    else if (wait(n, now) > longest)
-      ++busy;
-    else
-      (this->near(n) ? near : far).push_back(n);
+  const std::size_t most = reach(now);
+  for (bool close : {true, false}) {
+    const std::vector<int>& ring = rings_[young][close];
+    const double turn = settings_.me * 0.6180339887498949;
+    const std::size_t start = static_cast<std::size_t>((turn - std::floor(turn)) * ring.size());
+    std::size_t used = 0;
+    for (std::size_t i = 0; i < ring.size() && used < most; ++i) {
+      int n = ring[(start + i) % ring.size()];
+      if (!may(n) || !has_room(n, now) || resting(n, now)) continue;
+      if (!well(n, now) || (careful && nodes_[n].dead_run > 0)) {
+        poorly.push_back(n);
+        continue;
+      }
+      ++used;
+      if (wait(n, now) > longest)
+        ++busy;
+      else
+        found[close].push_back(n);
+    }
   }
-  if (poorly.size() > 2 * (near.size() + far.size() + busy)) return better_of_two(poorly, now, chance);
-  int a = better_of_two(near, now, chance), b = better_of_two(far, now, chance);
+  if (poorly.size() > 2 * (found[0].size() + found[1].size() + busy))
+    return better_of_two(poorly, now, chance);
+  int a = better_of_two(found[1], now, chance), b = better_of_two(found[0], now, chance);
   if (a < 0 || b < 0) return a < 0 ? b : a;
   return cost(a, now) > 1.3 * cost(b, now) + 1 ? b : a;
 }
@@ -373,11 +413,8 @@
 }  // namespace
 
 Trial::Trial(const GateSettings& settings, int products)
-    : settings_(settings),
-      products_(products),
-      fresh_(fresh_kept),
-      older_(older_kept),
-      firsts_(firsts_kept) {}
+    : settings_(settings), products_(products), fresh_(fresh_kept), older_(older_kept), firsts_(firsts_kept) {
+}
 
 void Trial::news(const RelNews& rel, Span now) {
   bool moved = !rel_ || rel_->build != rel.build || rel_->stage != rel.stage || rel_->phase != rel.phase;
@@ -691,13 +728,8 @@
 }  // namespace
 
 Txns::Txns(const TxnSettings& settings, Nodes& nodes, Exposure& exposure, Chance& chance)
-    : settings_(settings),
-      nodes_(nodes),
-      exposure_(exposure),
-      chance_(chance),
-      again_(again_kept),
-      declined_(again_kept),
-      tenants_(tenants_kept) {}
+    : settings_(settings), nodes_(nodes), exposure_(exposure), chance_(chance), again_(again_kept),
+      declined_(again_kept), tenants_(tenants_kept) {}
 
 void Txns::arrived(const Arrival& asked, Span now) {
   tenants_.push(asked.tenant);
@@ -856,18 +888,19 @@
 
 int Txns::place(const Txn& txn, Span now) {
   const Product& product = settings_.products[txn.asked.product];
-  int newest = nodes_.newest();
+  const int newest = nodes_.newest();
   // A repeat goes to the older build where there is one: the trial's allowance is for first attempts.
   bool young = txn.submissions.empty() && draw(chance_) < trial_share(now);
   for (bool arm : {young, !young}) {
+    if (arm && !exposure_.allows(txn.asked, newest, product.effect, now)) continue;
     auto may = [&](int n) {
-      int build = nodes_.all()[n].build;
-      if ((build == newest) != arm || !may_go(txn, n, now)) return false;
       for (const Submission& one : txn.submissions)
         if (one.node == n && !one.never_ran) return false;
-      return exposure_.allows(txn.asked, build, product.effect, now);
+      return may_go(txn, n, now) &&
+             (arm || exposure_.allows(txn.asked, nodes_.all()[n].build, product.effect, now));
     };
-    int node = nodes_.choose(may, product.effect == Effect::once_only, longest_wait(txn, now), now, chance_);
+    int node =
+        nodes_.choose(arm, may, product.effect == Effect::once_only, longest_wait(txn, now), now, chance_);
     if (node >= 0) return node;
   }
   return -1;
@@ -948,11 +981,9 @@
 
 Umpire::Umpire(unsigned salt, const NodeSettings& nodes, const ExposureSettings& exposure,
                const GateSettings& gate, const TxnSettings& txns)
-    : chance_(salt),
-      nodes_(nodes, txns.products),
+    : chance_(salt), nodes_(nodes, txns.products),
       exposure_(exposure, static_cast<int>(txns.products.size()), txns.tick),
-      trial_(gate, static_cast<int>(txns.products.size())),
-      ballot_(gate),
+      trial_(gate, static_cast<int>(txns.products.size())), ballot_(gate),
       txns_(txns, nodes_, exposure_, chance_) {}
 
 void Umpire::txn_arrived(const Arrival& txn, Span now) {
--- a/src/logic.h
+++ b/src/logic.h
@@ -32,15 +32,17 @@
   bool resting(int node, Span now) const;
   bool well(int node, Span now);
   double warmth(int node, Span now) const;
-  int newest() const;
+  int newest() const { return newest_; }
   double able(Span now) const;
   double cost(int node, Span now);
   Span wait(int node, Span now);
-  int choose(const std::function<bool(int)>& may, bool careful, Span longest, Span now, Chance& chance);
+  int choose(bool young, const std::function<bool(int)>& may, bool careful, Span longest, Span now,
+             Chance& chance);
   std::optional<Decision> next(Span now, Chance& chance);
   const std::vector<Node>& all() const { return nodes_; }
 
  private:
+  std::size_t reach(Span now) const;
   int better_of_two(const std::vector<int>& among, Span now, Chance& chance);
   Span patience();
 
@@ -51,7 +53,10 @@
   std::vector<std::vector<double>> sorted_{};
   std::vector<int> unsorted_{};
   std::deque<std::pair<Span, int>> settled_{};
-  double fair_ = 0;
+  int answering_ = 0, newest_ = -1;
+  std::vector<int> rings_[2][2]{};  // open nodes by order: of the newest build or not, near or not
+  Samples<Span> sent_;
+  Samples<char> refused_;
   bool asked_ = false;
   Span ask_at_{}, ask_pause_{};
 };
--- a/src/state.h
+++ b/src/state.h
@@ -1,6 +1,7 @@
 // Plain types that the module, its host and its tests share. Nothing here decides.
 #pragma once
 #include <chrono>
+#include <cstdint>
 #include <deque>
 #include <optional>
 #include <string>
@@ -42,6 +43,7 @@
   double cold_from, fall_multiple;
   bool must_ask, sized, probes;
   Reports reports;
+  int me = 0;  // the umpire's number among all
 };
 
 struct ExposureSettings {
@@ -72,7 +74,8 @@
   int node, zone, cell, build;
   NodePhase phase;
   double size;
-  Span started;  // zero: long ago
+  Span started;             // zero: long ago
+  std::uint64_t order = 0;  // a digest of the id, the same at every umpire
 };
 
 struct RelNews {
@@ -122,10 +125,12 @@
   bool listed = false;
   NodePhase phase = NodePhase::out;
   int zone = 0, cell = 0, build = 0;
+  std::uint64_t order = 0;
   double size = 1;
   Span started{};
   int dead_run = 0;         // submissions lost in a row without any reply
   int full_run = 0;         // submissions turned away in a row
+  int settled = 0;          // answers of late, while warm
   Span back_at = long_ago;  // answered again after it was taken for dead
   Span dead_at = long_ago, heard_at = long_ago, full_at = long_ago;
   std::vector<Span> out{};   // when the submissions still out were sent
