The part of txns let in follows late and refused answers, pooled over nodes

Cause: at full size no umpire sees a node's queue, all send into full ones and every answer is late. As in AIMD each umpire's part let in falls while its warm near nodes answer late (0.75 of the SLA time) or turn work away, and rises otherwise. It also holds against slow fleets of any cause; it may shed for a moment when silent nodes swallow txns.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -279,11 +279,13 @@
   double refused = 0;
   for (std::size_t i = 0; i < refused_.size(); ++i) refused += refused_.back(i);
   bool few = refused > std::max(2.0, refused_part * refused_.size());
-  std::size_t seen = sent_.size();
-  if (seen == 0) return reach_least;
-  double pace = seen / std::max(1.0, seconds(now - sent_.back(seen - 1)));
   return std::max(few ? reach_refused : reach_least,
-                  static_cast<std::size_t>(std::ceil(pace / reach_pace / (few ? 5 : 1))));
+                  static_cast<std::size_t>(std::ceil(pace(now) / reach_pace / (few ? 5 : 1))));
+}
+
+// Submissions a second of late.
+double Nodes::pace(Span now) const {
+  return sent_.size() == 0 ? 0 : sent_.size() / std::max(1.0, seconds(now - sent_.back(sent_.size() - 1)));
 }
 
 // Two random choices among the well nodes of the umpire's own stretch of the ring, in the own zone, or abroad
@@ -725,6 +727,7 @@
 constexpr double wait_least = 0.45, wait_more = 0.3;  // of the SLA time, by the txn's revenue
 constexpr int declined_few = 5;                       // of the last hundred txns
 constexpr Span hold_step = 25ms;
+constexpr double jam_part = 0.75, jam_falls = 1.25, jam_rises = 0.25, open_least = 0.05, least_pace = 8, open_full = 0.9;
 }  // namespace
 
 Txns::Txns(const TxnSettings& settings, Nodes& nodes, Exposure& exposure, Chance& chance)
@@ -747,13 +750,28 @@
   if (at != txns_.end()) at->second.streaming = true;
 }
 
-void Txns::ended(int id, int submission, Outcome outcome, bool settled) {
+// How much is let in follows the umpire's own answers, pooled over nodes: it falls while many come late or
+// are turned away and rises while they don't, as AIMD does. Guards against jams that no single umpire can see
+// at a node, where each brings it a small part of its work. It may shed for a moment when silent nodes
+// swallow txns.
+void Txns::felt(const Submission& one, Outcome outcome, int product, Span now) {
+  bool late = now - one.sent > from_millis(jam_part * millis(settings_.products[product].sla));
+  if (nodes_.warmth(one.node, one.sent) < 1 || !nodes_.near(one.node) ||
+      proves_not_run(outcome) != (outcome == Outcome::full))
+    return;
+  double step = 1 / std::max(least_pace, nodes_.pace(now));
+  open_ = late || outcome == Outcome::full ? std::max(open_least, open_ * (1 - jam_falls * step))
+                                           : std::min(1.0, open_ + jam_rises * step);
+}
+
+void Txns::ended(int id, int submission, Outcome outcome, bool settled, Span now) {
   auto at = txns_.find(id);
   if (at == txns_.end() || submission >= static_cast<int>(at->second.submissions.size())) return;
   Txn& txn = at->second;
   Submission& one = txn.submissions[submission];
   one.out = false;
   one.never_ran = proves_not_run(outcome);
+  felt(one, outcome, txn.asked.product, now);
   if (settled && !txn.over) {
     txn.over = true;
     if (settings_.cancelling && !txn.streaming)
@@ -959,8 +977,14 @@
   }
   if (left <= 2 * settings_.tick) return finish(id, txn, {}, now);
   // Repeats are rationed: in an overload they would feed it.
-  bool worth_it = txn.submissions.empty() || (count(again_) < again_most &&
+  bool worth_it = txn.submissions.empty() || (count(again_) < again_most * open_ &&
                                               millis(left) > 0.5 * nodes_.usual_ms(txn.asked.product, 0.5));
+  if (txn.submissions.empty() && txn.look_at == Span{} && open_ < open_full) {
+    double mean = 0;
+    for (const Product& other : settings_.products) mean += other.revenue / settings_.products.size();
+    if (draw(chance_) > std::pow(open_, mean / std::max(0.1, product.revenue)))
+      return finish(id, txn, settings_.max_pause, now);
+  }
   if (!more || !worth_it) return finish(id, txn, settings_.max_pause, now);
   int node = place(txn, now);
   if (node >= 0) return submit(id, txn, node, now);
@@ -1017,7 +1041,7 @@
     trial_.settled(one.build);
     exposure_.answered(asked.key, one.build);
   }
-  txns_.ended(id, index, outcome, settled);
+  txns_.ended(id, index, outcome, settled, now);
 }
 
 void Umpire::release_news(const RelNews& rel, Span now) {
--- a/src/logic.h
+++ b/src/logic.h
@@ -36,6 +36,7 @@
   double able(Span now) const;
   double cost(int node, Span now);
   Span wait(int node, Span now);
+  double pace(Span now) const;
   int choose(bool young, const std::function<bool(int)>& may, bool careful, Span longest, Span now,
              Chance& chance);
   std::optional<Decision> next(Span now, Chance& chance);
@@ -162,7 +163,7 @@
   Txns(const TxnSettings& settings, Nodes& nodes, Exposure& exposure, Chance& chance);
   void arrived(const Arrival& txn, Span now);
   void streaming(int txn);
-  void ended(int txn, int submission, Outcome outcome, bool settled);
+  void ended(int txn, int submission, Outcome outcome, bool settled, Span now);
   void left(int txn);
   bool knows(int txn) const { return txns_.count(txn) > 0; }
   const Txn* find(int txn) const;
@@ -177,6 +178,7 @@
   std::optional<Decision> submit(int id, Txn& txn, int node, Span now);
   std::optional<Decision> finish(int id, Txn& txn, Span pause, Span now);
   int place(const Txn& txn, Span now);
+  void felt(const Submission& one, Outcome outcome, int product, Span now);
   Span longest_wait(const Txn& txn, Span now) const;
   bool over_share(int tenant) const;
   static int count(const Samples<char>& of);
@@ -195,6 +197,7 @@
   std::priority_queue<std::pair<Span, int>, std::vector<std::pair<Span, int>>, std::greater<>> looks_{};
   Samples<char> again_, declined_;
   Samples<int> tenants_;
+  double open_ = 1;  // the part of txns that is let in
 };
 
 class Umpire {
