A cold node's part follows the warm fleet and the umpires that reach it; below one txn it waits

Cause: each umpire took one txn a window as its least part of a cold node, and every umpire of a zone reaches the few machines of a trial: 44 a window at a node that may take less.

--- a/src/benchlink/wire.cpp
+++ b/src/benchlink/wire.cpp
@@ -154,6 +154,7 @@
   NodeSettings settings{};
   settings.zone = whole(params, "zone");
   settings.me = whole(params, "me");
+  settings.umpires = whole(params, "balancers", 1);
   settings.cold_for = time_of(safety, "cold_ms");
   settings.fall_window = span(positive(safety, "fall_ms"));
   settings.ask_within = span(not_negative(safety, "ask_within_ms"));
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -24,8 +24,10 @@
 constexpr Span failing_rest = 2s;    // a failing node is tried again after so long without a failure
 constexpr Span full_rest = 100ms;    // a node that turned work away, doubling while it does
 constexpr double cold_margin = 0.6;  // part of what the cold rule allows that is used
-constexpr Span thin_life = 1s;       // one answer alone tells of a node's queue for so long
-constexpr double reach_pace = 2;     // submissions a second that an umpire's node should get from it,
+constexpr double cold_least = 8;     // txns a window that all umpires together may send any cold node
+constexpr double golden = 0.6180339887498949;
+constexpr Span thin_life = 1s;    // one answer alone tells of a node's queue for so long
+constexpr double reach_pace = 2;  // submissions a second that an umpire's node should get from it,
 constexpr std::size_t reach_least = 4, reach_refused = 2;  // but so many nodes at least, or so few
 constexpr double refused_part = 0.15;                      // when this part of all connections is refused
 constexpr Span ask_pause_least = 400ms, ask_pause_most = 3s;
@@ -53,7 +55,8 @@
     if (!node.listed || node.started != entry.started || node.build != entry.build) {
       node.results = Samples<Result>(results_kept);
       node.dead_run = node.full_run = 0;
-      node.heard_at = node.full_at = node.back_at = long_ago;
+      node.heard_at = node.full_at = node.back_at = node.cold_sent = long_ago;
+      node.told = now;
     }
     node.listed = true;
     node.phase = entry.phase;
@@ -92,7 +95,9 @@
 void Nodes::sent(int n, Span now) {
   nodes_[n].out.push_back(now);
   sent_.push(now);
-  if (warmth(n, now) < 1) nodes_[n].sends.push_back(now);
+  if (warmth(n, now) >= 1) return;
+  nodes_[n].sends.push_back(now);
+  nodes_[n].cold_sent = now;
 }
 
 void Nodes::ended(const Submission& submission, Outcome outcome, const Arrival& txn, Span now) {
@@ -131,8 +136,9 @@
     --nodes_[settled_.front().second].settled;
     settled_.pop_front();
   }
-  answering_ = 0;
-  for (const Node& each : nodes_) answering_ += each.settled > 0;
+  warm_ = 0;
+  for (int n = 0; n < static_cast<int>(nodes_.size()); ++n)
+    warm_ += nodes_[n].settled > 0 || (open(n) && warmth(n, now) >= 1);
 }
 
 void Nodes::learn(int product, Span took, double hint_ms) {
@@ -174,15 +180,24 @@
   return from_millis(most);
 }
 
-// Rule 4. Each umpire keeps to its own part: what its warm nodes carry, times what a cold one may be sent.
+// Rule 4. Each umpire keeps to its own part: what its warm nodes carry, times what a cold one may be sent. A
+// short ring is reached by more of the umpires than a long one. Where the part is less than one txn a window,
+// it waits longer between two, from a point of its own: guards against the sum of many small allowances.
 bool Nodes::has_room(int n, Span now) {
   Node& node = nodes_[n];
   if (warmth(n, now) >= 1) return true;
   while (!node.sends.empty() && node.sends.front() < now - settings_.fall_window) node.sends.pop_front();
   double then = warmth(n, std::max({node.started, node.back_at, now - settings_.fall_window / 2}));
-  double most =
-      cold_margin * settings_.fall_multiple * then * node.size * settled_.size() / std::max(1, answering_);
-  return node.sends.size() < std::max(1.0, most);
+  double ring = static_cast<double>(rings_[node.build == newest_][near(n)].size());
+  double reached_by = std::min(1.0, reach(now) / std::max(1.0, ring));
+  double most = cold_margin * settings_.fall_multiple * then * node.size * settled_.size() /
+                (std::max(1, warm_) * reached_by);
+  most = std::max(most, std::min(1.0, cold_least / (settings_.umpires * reached_by)));
+  if (most >= 1) return node.sends.size() + 1 <= most;
+  double turn = (settings_.me + n) * golden;
+  Span gap = from_millis(millis(settings_.fall_window) / most);
+  return now >=
+         std::max(node.cold_sent + gap, node.told + from_millis(millis(gap) * (turn - std::floor(turn))));
 }
 
 // A node that lost two in a row, without a word between, rests; then one txn at a time tries it.
@@ -298,7 +313,7 @@
   const std::size_t most = reach(now);
   for (bool close : {true, false}) {
     const std::vector<int>& ring = rings_[young][close];
-    const double turn = settings_.me * 0.6180339887498949;
+    const double turn = settings_.me * golden;
     const std::size_t start = static_cast<std::size_t>((turn - std::floor(turn)) * ring.size());
     std::size_t used = 0;
     for (std::size_t i = 0; i < ring.size() && used < most; ++i) {
@@ -727,7 +742,8 @@
 constexpr double wait_least = 0.45, wait_more = 0.3;  // of the SLA time, by the txn's revenue
 constexpr int declined_few = 5;                       // of the last hundred txns
 constexpr Span hold_step = 25ms;
-constexpr double jam_part = 0.75, jam_falls = 1.25, jam_rises = 0.25, open_least = 0.05, least_pace = 8, open_full = 0.9;
+constexpr double jam_part = 0.75, jam_falls = 1.25, jam_rises = 0.25, open_least = 0.05, least_pace = 16,
+                 open_full = 0.9;
 }  // namespace
 
 Txns::Txns(const TxnSettings& settings, Nodes& nodes, Exposure& exposure, Chance& chance)
--- a/src/logic.h
+++ b/src/logic.h
@@ -54,7 +54,7 @@
   std::vector<std::vector<double>> sorted_{};
   std::vector<int> unsorted_{};
   std::deque<std::pair<Span, int>> settled_{};
-  int answering_ = 0, newest_ = -1;
+  int warm_ = 0, newest_ = -1;
   std::vector<int> rings_[2][2]{};  // open nodes by order: of the newest build or not, near or not
   Samples<Span> sent_;
   Samples<char> refused_;
--- a/src/state.h
+++ b/src/state.h
@@ -43,7 +43,7 @@
   double cold_from, fall_multiple;
   bool must_ask, sized, probes;
   Reports reports;
-  int me = 0;  // the umpire's number among all
+  int me = 0, umpires = 1;  // the umpire's number among all
 };
 
 struct ExposureSettings {
@@ -128,10 +128,11 @@
   std::uint64_t order = 0;
   double size = 1;
   Span started{};
-  int dead_run = 0;         // submissions lost in a row without any reply
-  int full_run = 0;         // submissions turned away in a row
-  int settled = 0;          // answers of late, while warm
-  Span back_at = long_ago;  // answered again after it was taken for dead
+  int dead_run = 0;                            // submissions lost in a row without any reply
+  int full_run = 0;                            // submissions turned away in a row
+  int settled = 0;                             // answers of late, while warm
+  Span back_at = long_ago;                     // answered again after it was taken for dead
+  Span told = long_ago, cold_sent = long_ago;  // when its start was heard of, and last sent to while cold
   Span dead_at = long_ago, heard_at = long_ago, full_at = long_ago;
   std::vector<Span> out{};   // when the submissions still out were sent
   std::deque<Span> sends{};  // sends within the rule's window while cold
