Thin evidence: carried to the next stage, one answer a machine; slow fleets judged after release

Cause: at full size most umpires see fewer than ten answers of a build in a stage, no machine gives three, and after a release nothing was judged. Counts too few to judge by are carried into the next stage; the level of chance follows from the votes that must stand; the fleet's slowness is judged after the release too, at no more traffic than before.

--- a/src/figures.h
+++ b/src/figures.h
@@ -16,6 +16,11 @@
 inline Span from_millis(double ms) { return Span(static_cast<long long>(ms * 1e3)); }
 inline double draw(std::minstd_rand& chance) { return std::uniform_real_distribution<double>(0, 1)(chance); }
 
+// How many of these come in a second of late.
+inline double pace_of(const Samples<Span>& of, Span now) {
+  return of.size() == 0 ? 0 : of.size() / std::max(0.2, seconds(now - of.back(of.size() - 1)));
+}
+
 // Chance of k or more rare events where `expected` are due (Poisson).
 inline double tail(double k, double expected) {
   double term = std::exp(-expected), below = 0;
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -298,10 +298,7 @@
                   static_cast<std::size_t>(std::ceil(pace(now) / reach_pace / (few ? 5 : 1))));
 }
 
-// Submissions a second of late.
-double Nodes::pace(Span now) const {
-  return sent_.size() == 0 ? 0 : sent_.size() / std::max(1.0, seconds(now - sent_.back(sent_.size() - 1)));
-}
+double Nodes::pace(Span now) const { return pace_of(sent_, now); }
 
 // Two random choices among the well nodes of the umpire's own stretch of the ring, in the own zone, or abroad
 // where that is clearly better. All umpires see the nodes in the same order and begin at points spread
@@ -410,16 +407,16 @@
 
 // Trial
 namespace {
-constexpr std::size_t fresh_kept = 600, older_kept = 800, firsts_kept = 200;
+constexpr std::size_t fresh_kept = 600, older_kept = 800, fleet_enough = 30;
 constexpr double least_submissions = 10;  // the source's minimum before a stage is judged
 constexpr double most_compared = 0.9;  // of the cap: beyond, the older machines are idle or on their way out
-constexpr double like_load = 2.2;      // a trial machine's traffic against an older one's
 constexpr Span same_time = 2s;         // outcomes of both builds are compared in spans of this
 constexpr Span least_window = 4s;      // from the latest start in the stage
 constexpr double failure_threshold = 0.03, flood_threshold = 0.2;  // beside older machines, and without
-constexpr double beyond_chance = 0.001;  // how unlikely failures must be before they count as the build's
+constexpr double beyond_chance = 0.001;  // how unlikely failures must be before they count as the build's,
+constexpr double level_most = 0.03;      // and at most where many umpires must agree
 constexpr double machine_spread = 0.22;  // of the logarithm of a machine's latency, load included
-constexpr Span pace_window = 2s;
+constexpr Span fleet_most = 8s;
 constexpr Span shared_window = 1500ms;  // so long must the whole fleet be slower,
 constexpr double shared_before = 1.4, shared_slow = 1.7,
                  shared_load = 1.3;  // by this, at no more than this times the load
@@ -430,7 +427,12 @@
 }  // namespace
 
 Trial::Trial(const GateSettings& settings, int products)
-    : settings_(settings), products_(products), fresh_(fresh_kept), older_(older_kept), firsts_(firsts_kept) {
+    : settings_(settings), products_(products), fresh_(fresh_kept), older_(older_kept),
+      level_(beyond_chance) {
+  // Where many votes must stand, one umpire may be less sure: their number guards against a false alarm. It
+  // would not if all erred alike, so there is a most.
+  while (level_ < level_most && tail(settings_.to_revert, 8 * settings_.umpires * level_) < 4 * beyond_chance)
+    level_ *= 2;
 }
 
 void Trial::news(const RelNews& rel, Span now) {
@@ -446,7 +448,13 @@
     stage_at_ = now - rel.since;
     look_at_fleet_ = true;
     held_from_ = long_ago;
-    fresh_.clear();
+    condemned_ = {};
+    // What is too little to judge a stage by is carried into the next: else quiet umpires never see enough.
+    bool next = rel_ && rel_->build == rel.build && rel.phase == RelPhase::trial;
+    if (!next || fresh_.size() >= least_submissions) {
+      fresh_.clear();
+      counted_from_ = stage_at_;
+    }
   }
   rel_ = rel;
 }
@@ -466,7 +474,6 @@
     const Sample& sample = samples.back(i);
     if (sample.at < from) break;
     if (skip(sample.node)) continue;
-    arm.oldest = sample.at;
     long time = sample.at / same_time;
     const Counts then = beside ? beside->by_time[time] : Counts{};
     bool near = !beside || then.n >= 3;
@@ -489,78 +496,69 @@
   }
 }
 
-void Trial::taken(bool repeat, Span now) {
-  if (!repeat) firsts_.push(now);
-}
-
-// First tries a second of late.
-double Trial::pace(Span now) const {
-  std::size_t seen = 0;
-  while (seen < firsts_.size() && firsts_.back(seen).count() > (now - pace_window).count()) ++seen;
-  Span since = seen > 0 && seen == firsts_.size() ? firsts_.back(seen - 1) : now - pace_window;
-  return static_cast<double>(seen) / std::max(0.01, seconds(now - since));
-}
-
 // A release may slow all machines, old and new alike; beside the older build it then looks well. Guards
 // against any harm that the trial does to the whole fleet: nearly all of the older build's machines answer
 // much slower than before the offer, though they are no busier with our txns and were not so in stage 0. It
 // errs where other umpires' traffic jumps during a trial and ours does not.
-bool Trial::shared_harm(double able, Span now) {
-  Arm old;
-  tally(old, older_, now - shared_window, [](int) { return false; });
-  if (!usual_part_ || rel_->stage == 0 || old.all.timed < 30 || able <= 0 || usual_load_ <= 0) return false;
-  double load = std::max(1.0, pace(now) / able / usual_load_);
-  if (load > shared_load) return false;
+bool Trial::shared_harm(double load, bool compared, Span now) const {
+  Arm fleet;
+  auto none = [](int) { return false; };
+  tally(fleet, older_, since(older_, now), none);
+  if (!compared) tally(fleet, fresh_, since(fresh_, now), none);
+  if (!usual_part_ || rel_->stage == 0 || fleet.all.timed < fleet_enough * 2 / 3) return false;
+  double more = std::max(1.0, load / usual_load_);
+  if (more > shared_load) return false;
   // Queues grow faster than the load: so much more is asked of the slowness.
-  double slower = std::log(shared_slow * load * load);
+  double slower = std::log(shared_slow * more * more);
   auto mean = [](const Counts& c) { return c.whole / c.timed; };
   int slow = 0, seen = 0;
-  for (auto& [node, counts] : old.by_node) {
+  for (auto& [node, counts] : fleet.by_node) {
     if (counts.timed < 2) continue;
     ++seen;
     slow += mean(counts) > *usual_part_ + slower / 2;
   }
-  return mean(old.all) > *usual_part_ + slower && 5 * slow >= 4 * seen;
+  return mean(fleet.all) > *usual_part_ + slower && 5 * slow >= 4 * seen;
 }
 
-double Trial::Arm::machines() const {
-  auto tells = [](auto& c) { return c.second.timed >= 3; };
-  return std::max(1.0, static_cast<double>(std::count_if(by_node.begin(), by_node.end(), tells)));
+// From when on the fleet is looked at: a short while, or longer where answers are few.
+Span Trial::since(const Samples<Sample>& of, Span now) const {
+  Span enough = of.size() < fleet_enough ? long_ago : of.back(fleet_enough - 1).at;
+  return std::clamp(enough, now - fleet_most, now - shared_window);
 }
 
-double Trial::Arm::rate(Span now) const {
-  return all.timed / machines() / std::max(0.1, seconds(now - oldest));
+double Trial::Arm::machines() const {
+  auto tells = [this](auto& c) { return c.second.timed >= least(); };
+  return std::max(1.0, static_cast<double>(std::count_if(by_node.begin(), by_node.end(), tells)));
 }
 
 Finding Trial::condemn(const std::string& why) { return condemned_ = {Verdict::back, true, why}; }
 
-Finding Trial::judge(const std::vector<Node>& nodes, double trial_per_s, double able, Span now) {
+Finding Trial::judge(const std::vector<Node>& nodes, double trial_per_s, double load, Span now) {
   if (!rel_ || (rel_->phase != RelPhase::trial && !(rel_->phase == RelPhase::released && seen_on_trial_)))
     return {};
   if (condemned_.verdict == Verdict::back) return condemned_;
+  const bool compared = rel_->phase == RelPhase::trial && rel_->cap < most_compared;
   if (look_at_fleet_ && rel_->phase == RelPhase::trial && rel_->stage <= 1) {
     Arm before;
-    tally(before, older_, now - 2 * shared_window, [](int) { return false; });
-    bool known = before.all.timed >= 30 && able > 0;
+    tally(before, older_, since(older_, now - shared_window), [](int) { return false; });
+    bool known = before.all.timed >= fleet_enough * 2 / 3 && load > 0;
     double part = known ? before.all.whole / before.all.timed : 0;
-    if (rel_->stage == 0 && known) usual_load_ = pace(now) / able;
+    if (rel_->stage == 0 && known) usual_load_ = load;
     if (rel_->stage == 0 && known) usual_part_ = part;
     // Slow before the build had much traffic: something else is going on.
     if (rel_->stage == 1 && usual_part_ && part > *usual_part_ + std::log(shared_before)) usual_part_.reset();
   }
   look_at_fleet_ = false;
-  if (rel_->phase != RelPhase::trial || fresh_.size() < least_submissions / 2 || !shared_harm(able, now))
-    slow_from_ = now;
-  if (now - slow_from_ >= shared_window)
-    return condemn(figures("all slower; load", pace(now) / able, usual_load_));
+  if (fresh_.size() < least_submissions / 2 || !shared_harm(load, compared, now)) slow_from_ = now;
+  if (now - slow_from_ >= shared_window) return condemn(figures("all slower; load", load, usual_load_));
   auto none = [](int) { return false; };
   Arm old, young;
-  tally(old, older_, stage_at_, none);
+  tally(old, older_, counted_from_, none);
   if (old.all.n < 2 * least_submissions) {
     old = {};
     tally(old, older_, long_ago, none);
   }
-  tally(young, fresh_, stage_at_, none, &old);
+  tally(young, fresh_, counted_from_, none, &old);
 
   // Trouble of a machine is not the build's: where machines of the older build are poorly too, or the
   // trial has many, a small part of its machines that are poorly is left out. It hurts where a bad build and
@@ -579,7 +577,7 @@
     std::map<int, Counts> by_node = young.by_node;
     young = {};
     tally(
-        young, fresh_, stage_at_, [&](int n) { return poorly(by_node[n]); }, &old);
+        young, fresh_, counted_from_, [&](int n) { return poorly(by_node[n]); }, &old);
   }
 
   // Failures: over the threshold, and more than the older build's rate and chance explain.
@@ -587,7 +585,6 @@
   // Each failure is set against the older build's at the same time: troubles that come while the trial's
   // machines are still few or cold would else look like the build's. Without older machines beside it only a
   // flood of errors speaks, for overload, cut links and other services lose answers of good builds too.
-  bool compared = rel_->phase == RelPhase::trial && rel_->cap < most_compared;
   auto failing = [&](const Counts& c, const Counts& base) {
     bool beside = compared && 2 * c.near >= c.n;
     double failed = c.failed + beside * c.lost;
@@ -596,7 +593,7 @@
     doubtful |= failed >= 2 && luck < 0.03;
     // Before the minimum count only failures far beyond chance speak: a build that fails all is soon left
     // alone by the routing and would never reach it.
-    double chance = c.n >= least_submissions ? beyond_chance : beyond_chance / 10;
+    double chance = c.n >= least_submissions ? level_ : level_ / 10;
     bool many = beside ? failed >= 3 && failed > failure_threshold * c.n
                        : failed >= 8 && failed > flood_threshold * c.n;
     return many && luck < chance;
@@ -619,7 +616,8 @@
   double luck = tail(wrong, given * (old_wrong + 1) / (old_given + 250));
   doubtful |= wrong >= 1 && luck < 0.1;
   bool many = wrong > 0.5 * failure_threshold * settings_.flag_share * given;
-  if (wrong >= 2 && many && luck < 0.004) return condemn(figures("wrong answers", wrong, given));
+  if (wrong >= (settings_.to_revert > 1 ? 1 : 2) && many && luck < std::max(0.004, level_))
+    return condemn(figures("wrong answers", wrong, given));
 
   Span latest = stage_at_;
   int young_nodes = 0, old_nodes = 0;
@@ -638,8 +636,8 @@
   // against the older build's, which sees it long before a p99 of a few answers can. Both need machines of
   // the older build under a like load: while a fleet is swapped in place the rest of it says nothing, nor do
   // machines left idle.
-  if (compared && 2 * old_nodes >= young_nodes && young.rate(now) < like_load * old.rate(now) &&
-      young.all.timed >= least_submissions && old.all.timed >= 2 * least_submissions) {
+  if (compared && 2 * old_nodes >= young_nodes && young.all.timed >= least_submissions &&
+      old.all.timed >= 2 * least_submissions) {
     double young_p99 = quantile(young.sla_parts, 0.99), old_p99 = quantile(old.sla_parts, 0.99);
     auto mean = [](const Counts& c) { return c.sum / c.timed; };
     auto spread = [&](const Counts& c) {
@@ -652,20 +650,22 @@
         return c.second.timed >= answers && c.second.sum > std::log(least) * c.second.timed;
       };
     };
-    long slow_ones = std::count_if(young.by_node.begin(), young.by_node.end(), slow(1.3, 3));
+    long slow_ones = std::count_if(young.by_node.begin(), young.by_node.end(), slow(1.3, young.least()));
     bool most_slow =
-        3 * young.machines() <= 4 * slow_ones &&
+        young.machines() * (young.least() > 1 ? 0.75 : 0.6) <= slow_ones &&
         (slow_ones > 1 || std::none_of(lately.by_node.begin(), lately.by_node.end(), slow(1.5, 2)));
     double apart = mean(young.all);  // as tallied, against the older build's at the same time
     // Machines differ among themselves: few machines tell little, however many answers they gave.
     double machines = machine_spread * machine_spread * (1 / young.machines() + 1 / old.machines());
     double error = std::sqrt(spread(young.all) + spread(old.all) + machines);
+    const double sure = std::sqrt(std::log(level_) / std::log(beyond_chance));
     // A p99 of so few answers is one machine's bad second; the middle must have moved too.
     if (young.all.timed >= 100 && young_p99 > 1 && young_p99 > 2 * old_p99 && apart > 0.42 && window &&
         most_slow)
       return condemn(figures("p99 in SLA times", young_p99, old_p99));
     doubtful |= apart > 0.4 && apart > 1.7 * error;
-    if (most_slow && ((window && apart > 0.42 && apart - 2 * error > 0.28) || apart - 3 * error > 0.35))
+    if (most_slow &&
+        ((window && apart > 0.42 && apart - 2 * sure * error > 0.28) || apart - 3 * sure * error > 0.35))
       return condemn(figures("times the older's latency", std::exp(apart), std::exp(error)));
   }
 
@@ -1017,18 +1017,19 @@
 // Umpire
 namespace {
 constexpr Span judge_every = 50ms, look_every = 100ms;
-}
+constexpr std::size_t firsts_kept = 40;
+}  // namespace
 
 Umpire::Umpire(unsigned salt, const NodeSettings& nodes, const ExposureSettings& exposure,
                const GateSettings& gate, const TxnSettings& txns)
     : chance_(salt), nodes_(nodes, txns.products),
       exposure_(exposure, static_cast<int>(txns.products.size()), txns.tick),
       trial_(gate, static_cast<int>(txns.products.size())), ballot_(gate),
-      txns_(txns, nodes_, exposure_, chance_) {}
+      txns_(txns, nodes_, exposure_, chance_), firsts_(firsts_kept) {}
 
 void Umpire::txn_arrived(const Arrival& txn, Span now) {
   exposure_.taken(txn.product, now);
-  trial_.taken(txn.repeat, now);
+  if (!txn.repeat) firsts_.push(now);
   txns_.arrived(txn, now);
 }
 
@@ -1070,7 +1071,8 @@
   if (now >= judged_at_ + judge_every) {
     judged_at_ = now;
     double trial_per_s = exposure_.taken_per_s(now) * txns_.trial_share(now);
-    Finding found = trial_.judge(nodes_.all(), trial_per_s, nodes_.able(now), now);
+    Finding found =
+        trial_.judge(nodes_.all(), trial_per_s, pace_of(firsts_, now) / std::max(0.1, nodes_.able(now)), now);
     ballot_.wants(found.verdict, now, chance_);
     const char* words[] = {"watching", "on", "hold", "back"};
     std::string mode = words[static_cast<int>(found.verdict)];
--- a/src/logic.h
+++ b/src/logic.h
@@ -100,8 +100,7 @@
   void flagged(int build) { answers_[build].second += 1; }
   bool watched(int build) const;
   // A build once condemned stays so.
-  Finding judge(const std::vector<Node>& nodes, double trial_per_s, double able, Span now);
-  void taken(bool repeat, Span now);
+  Finding judge(const std::vector<Node>& nodes, double trial_per_s, double load, Span now);
   const std::optional<RelNews>& rel() const { return rel_; }
 
  private:
@@ -114,13 +113,13 @@
     std::vector<Counts> by_product{};
     Counts all{};
     std::vector<double> sla_parts{};
-    Span oldest{};
-    double machines() const;      // warm ones that gave a few answers
-    double rate(Span now) const;  // answers of each in a second
+    double machines() const;  // warm ones that gave a few answers
+    // Of a build spread thinly over many machines one answer each must do.
+    double least() const { return all.timed >= 3 * static_cast<double>(by_node.size()) ? 3 : 1; }
   };
   Finding condemn(const std::string& why);
-  bool shared_harm(double able, Span now);
-  double pace(Span now) const;
+  bool shared_harm(double load, bool compared, Span now) const;
+  Span since(const Samples<Sample>& of, Span now) const;
   void tally(Arm& arm, const Samples<Sample>& samples, Span from, const std::function<bool(int)>& skip,
              Arm* beside = nullptr) const;
 
@@ -129,12 +128,12 @@
   std::optional<RelNews> rel_{};
   bool seen_on_trial_ = false;
   Finding condemned_{};
-  Span stage_at_{}, held_from_ = long_ago;
+  Span stage_at_{}, counted_from_{}, held_from_ = long_ago;
   Samples<Sample> fresh_, older_;
-  Samples<Span> firsts_;
+  double level_;                        // of chance, at which one umpire's figures speak
   bool look_at_fleet_ = false;          // a stage has begun
   std::optional<double> usual_part_{};  // the fleet before the offer: mean log of latency over SLA time,
-  double usual_load_ = 0;               // and txns taken for each node's worth of capacity
+  double usual_load_ = 1;               // and submissions for each node's worth of capacity
   Span slow_from_ = long_ago;
   std::map<int, std::pair<double, double>> answers_{};  // by build: answers passed on, and found wrong
 };
@@ -231,6 +230,7 @@
   Trial trial_;
   Ballot ballot_;
   Txns txns_;
+  Samples<Span> firsts_;
   Span judged_at_ = long_ago, wake_at_ = long_ago;
   std::string mode_{};
   std::deque<std::string> log_{};
