--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -4,6 +4,8 @@
 // note; every choice is made in next().
 #include "logic.h"
 
+#include <set>
+
 #include "figures.h"
 
 namespace robinhoist {
@@ -125,7 +127,8 @@
   }
   // A late answer of a node that answers others is a matter of load, not of health.
   bool well = outcome == Outcome::ok || (outcome == Outcome::timeout && node.heard_at >= submission.sent);
-  node.results.push({now, well, ratio(txn.product, took, txn.hint_ms), took, submission.in_hand});
+  node.results.push({now, well, ratio(txn.product, took, txn.hint_ms), took, submission.in_hand,
+                     outcome != Outcome::error});
   if (outcome != Outcome::ok) return;
   // What one warm node carries, for the cold rule. Only warm nodes count, with all that answered, also those
   // gone since: else a fleet nearly all cold, or one being swapped, looks far more able than it is.
@@ -251,6 +254,7 @@
   double sum = 0;
   for (std::size_t i = 0; i < young; ++i) {
     const Result& result = node.results.back(i);
+    if (!result.timed) continue;  // a quick error is no sign of speed
     sum += std::clamp(result.ratio, 0.3, 8.0);
   }
   double slow = std::max(1.0, (sum + 3) / (static_cast<double>(young) + 3) / 1.3);
@@ -271,6 +275,7 @@
   double took = 0, in_hand = 0;
   for (std::size_t i = 0; i < young; ++i) {
     const Result& result = node.results.back(i);
+    if (!result.timed) continue;
     took += seconds(result.took);
     in_hand += result.in_hand;
   }
@@ -467,20 +472,22 @@
 
 void Trial::noted(int build, const Sample& sample) { (watched(build) ? fresh_ : older_).push(sample); }
 
-void Trial::tally(Arm& arm, const Samples<Sample>& samples, Span from, const std::function<bool(int)>& skip,
-                  Arm* beside) const {
+void Trial::tally(Arm& arm, const Samples<Sample>& samples, Span from,
+                  const std::function<bool(const Sample&)>& skip, Arm* beside) const {
   arm.by_product.resize(products_);
   for (std::size_t i = 0; i < samples.size(); ++i) {
     const Sample& sample = samples.back(i);
     if (sample.at < from) break;
-    if (skip(sample.node)) continue;
-    long time = sample.at / same_time;
+    if (skip(sample)) continue;
+    // By when it was sent: errors come at once and answers later, so a build that has just begun to take txns
+    // would else show only errors that hit both builds alike.
+    long time = sample.sent / same_time;
     const Counts then = beside ? beside->by_time[time] : Counts{};
     bool near = !beside || then.n >= 3;
     double usual = beside && then.timed > 0 ? then.sum / then.timed : 0;
     double log_ratio = std::log(std::clamp(sample.ratio, 0.05, 20.0)) - usual;
-    for (Counts* counts :
-         {&arm.by_node[sample.node], &arm.by_product[sample.product], &arm.by_time[time], &arm.all}) {
+    for (Counts* counts : {&arm.by_node[sample.node], &arm.by_product[sample.product],
+                           &arm.by_tenant[sample.tenant], &arm.by_time[time], &arm.all}) {
       counts->n += 1;
       counts->near += near;
       counts->due += near ? (then.failed + then.lost) / std::max(1.0, then.n) : 0;
@@ -502,7 +509,7 @@
 // errs where other umpires' traffic jumps during a trial and ours does not.
 bool Trial::shared_harm(double load, bool compared, Span now) const {
   Arm fleet;
-  auto none = [](int) { return false; };
+  auto none = [](const Sample&) { return false; };
   tally(fleet, older_, since(older_, now), none);
   if (!compared) tally(fleet, fresh_, since(fresh_, now), none);
   if (!usual_part_ || rel_->stage == 0 || fleet.all.timed < fleet_enough * 2 / 3) return false;
@@ -540,7 +547,7 @@
   const bool compared = rel_->phase == RelPhase::trial && rel_->cap < most_compared;
   if (look_at_fleet_ && rel_->phase == RelPhase::trial && rel_->stage <= 1) {
     Arm before;
-    tally(before, older_, since(older_, now - shared_window), [](int) { return false; });
+    tally(before, older_, since(older_, now - shared_window), [](const Sample&) { return false; });
     bool known = before.all.timed >= fleet_enough * 2 / 3 && load > 0;
     double part = known ? before.all.whole / before.all.timed : 0;
     if (rel_->stage == 0 && known) usual_load_ = load;
@@ -551,14 +558,22 @@
   look_at_fleet_ = false;
   if (fresh_.size() < least_submissions / 2 || !shared_harm(load, compared, now)) slow_from_ = now;
   if (now - slow_from_ >= shared_window) return condemn(figures("all slower; load", load, usual_load_));
-  auto none = [](int) { return false; };
-  Arm old, young;
-  tally(old, older_, counted_from_, none);
+  // A tenant whose txns fail at the older build, as others' do not, tells nothing of the new one: guards
+  // against floods that fail anywhere. They are the first to be kept from full queues, and so gather at a
+  // trial's machines.
+  Arm lately, old, young;
+  tally(lately, older_, now - poorly_memory, [](const Sample&) { return false; });
+  std::set<int> left_out;
+  for (auto& [tenant, c] : lately.by_tenant)
+    if (c.failed >= 3 && c.failed * (lately.all.n - c.n + 10) > 3 * (lately.all.failed - c.failed + 1) * c.n)
+      left_out.insert(tenant);
+  auto skip = [&](const Sample& sample) { return left_out.count(sample.tenant) > 0; };
+  tally(old, older_, counted_from_, skip);
   if (old.all.n < 2 * least_submissions) {
     old = {};
-    tally(old, older_, long_ago, none);
+    tally(old, older_, long_ago, skip);
   }
-  tally(young, fresh_, counted_from_, none, &old);
+  tally(young, fresh_, counted_from_, skip, &old);
 
   // Trouble of a machine is not the build's: where machines of the older build are poorly too, or the
   // trial has many, a small part of its machines that are poorly is left out. It hurts where a bad build and
@@ -570,14 +585,13 @@
     return std::count_if(arm.by_node.begin(), arm.by_node.end(), [&](auto& c) { return poorly(c.second); });
   };
   auto most_left_out = std::max<long>(1, static_cast<long>(young.by_node.size() / 5));
-  Arm lately;
-  tally(lately, older_, now - poorly_memory, none);
   bool few_of_many = static_cast<long>(young.by_node.size()) >= 5 * poorly_in(young);
   if ((poorly_in(lately) > 0 || few_of_many) && poorly_in(young) <= most_left_out) {
     std::map<int, Counts> by_node = young.by_node;
     young = {};
     tally(
-        young, fresh_, counted_from_, [&](int n) { return poorly(by_node[n]); }, &old);
+        young, fresh_, counted_from_,
+        [&](const Sample& one) { return skip(one) || poorly(by_node[one.node]); }, &old);
   }
 
   // Failures: over the threshold, and more than the older build's rate and chance explain.
@@ -787,6 +801,7 @@
   Submission& one = txn.submissions[submission];
   one.out = false;
   one.never_ran = proves_not_run(outcome);
+  one.failed = outcome == Outcome::error;
   felt(one, outcome, txn.asked.product, now);
   if (settled && !txn.over) {
     txn.over = true;
@@ -914,6 +929,8 @@
   return its * all > share_slack * settings_.tenants[tenant].allowance_per_s * tenants_.size();
 }
 
+bool Txns::shedding() const { return open_ < open_full; }
+
 int Txns::count(const Samples<char>& of) {
   int sum = 0;
   for (std::size_t i = 0; i < of.size(); ++i) sum += of.back(i);
@@ -926,6 +943,8 @@
   // A repeat goes to the older build where there is one: the trial's allowance is for first attempts.
   bool young = txn.submissions.empty() && draw(chance_) < trial_share(now);
   for (bool arm : {young, !young}) {
+    // What the older build has no room for is not heaped on a trial: its machines would look slow.
+    if (arm && !young && exposure_.on_trial(newest)) continue;
     if (arm && !exposure_.allows(txn.asked, newest, product.effect, now)) continue;
     auto may = [&](int n) {
       for (const Submission& one : txn.submissions)
@@ -995,7 +1014,7 @@
   // Repeats are rationed: in an overload they would feed it.
   bool worth_it = txn.submissions.empty() || (count(again_) < again_most * open_ &&
                                               millis(left) > 0.5 * nodes_.usual_ms(txn.asked.product, 0.5));
-  if (txn.submissions.empty() && txn.look_at == Span{} && open_ < open_full) {
+  if (txn.submissions.empty() && txn.look_at == Span{} && shedding()) {
     double mean = 0;
     for (const Product& other : settings_.products) mean += other.revenue / settings_.products.size();
     if (draw(chance_) > std::pow(open_, mean / std::max(0.1, product.revenue)))
@@ -1039,18 +1058,24 @@
   const Submission one = txn->submissions[index];
   const Arrival asked = txn->asked;
   Span took = now - one.sent;
-  nodes_.ended(one, outcome, asked, now);
+  // What another node has failed already tells nothing of this one or its build: guards against txns that
+  // fail anywhere, which as repeats would gather at the machines with room.
+  bool failed_before =
+      std::any_of(txn->submissions.begin(), txn->submissions.end(), [](auto& s) { return s.failed; });
+  const Outcome tells = failed_before && outcome == Outcome::error ? Outcome::moot : outcome;
+  nodes_.ended(one, tells, asked, now);
   nodes_.report(one.node, load, now);
   const Node& node = nodes_.all()[one.node];
   // A machine that stops answering swallows many submissions; they count as one failure of the build.
-  // A cold machine's late answers tell nothing, nor do answers lost on the way to another zone.
+  // A cold machine's late answers tell nothing, nor do those that come while all is late, nor do answers lost
+  // on the way to another zone.
   bool warm = nodes_.warmth(one.node, one.sent) >= 1;
-  bool counts = outcome == Outcome::ok || outcome == Outcome::error ||
-                (lost(outcome) && node.dead_run <= 1 && warm && nodes_.near(one.node));
+  bool counts = tells == Outcome::ok || tells == Outcome::error ||
+                (lost(outcome) && node.dead_run <= 1 && warm && nodes_.near(one.node) && !txns_.shedding());
   if (counts && node.build == one.build) {
-    trial_.noted(one.build,
-                 {now, one.node, asked.product, outcome == Outcome::error, lost(outcome), warm,
-                  nodes_.ratio(asked.product, took, asked.hint_ms), nodes_.sla_part(asked.product, took)});
+    trial_.noted(one.build, {now, one.sent, one.node, asked.product, asked.tenant, outcome == Outcome::error,
+                             lost(outcome), warm, nodes_.ratio(asked.product, took, asked.hint_ms),
+                             nodes_.sla_part(asked.product, took)});
     if (outcome == Outcome::ok && warm && !trial_.watched(one.build))
       nodes_.learn(asked.product, took, asked.hint_ms);
   }
--- a/src/logic.h
+++ b/src/logic.h
@@ -108,7 +108,7 @@
     double n = 0, failed = 0, lost = 0, timed = 0, sum = 0, squares = 0, whole = 0, near = 0, due = 0;
   };
   struct Arm {
-    std::map<int, Counts> by_node{};
+    std::map<int, Counts> by_node{}, by_tenant{};
     std::map<long, Counts> by_time{};
     std::vector<Counts> by_product{};
     Counts all{};
@@ -120,8 +120,8 @@
   Finding condemn(const std::string& why);
   bool shared_harm(double load, bool compared, Span now) const;
   Span since(const Samples<Sample>& of, Span now) const;
-  void tally(Arm& arm, const Samples<Sample>& samples, Span from, const std::function<bool(int)>& skip,
-             Arm* beside = nullptr) const;
+  void tally(Arm& arm, const Samples<Sample>& samples, Span from,
+             const std::function<bool(const Sample&)>& skip, Arm* beside = nullptr) const;
 
   GateSettings settings_;
   int products_;
@@ -171,6 +171,7 @@
     return looks_.empty() ? std::nullopt : std::optional<Span>(looks_.top().first);
   }
   double trial_share(Span now);
+  bool shedding() const;
 
  private:
   std::optional<Decision> decide(int id, Txn& txn, Span now);
--- a/src/state.h
+++ b/src/state.h
@@ -119,6 +119,7 @@
   double ratio;  // latency over the product's usual one
   Span took;
   int in_hand;  // own txns that the node held when this one was sent, itself included
+  bool timed;   // not a quick error
 };
 
 struct Node {
@@ -145,7 +146,7 @@
   int node, build;
   Span sent;
   int in_hand;
-  bool out = true, never_ran = false;
+  bool out = true, never_ran = false, failed = false;
 };
 
 struct Txn {
@@ -157,8 +158,8 @@
 
 // One judged submission of an arm.
 struct Sample {
-  Span at;
-  int node, product;
+  Span at, sent;
+  int node, product, tenant;
   bool failed, lost, warm;
   double ratio, sla_part;  // latency over the product's usual one, and over its SLA time
 };
