--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -254,7 +254,7 @@
   double sum = 0;
   for (std::size_t i = 0; i < young; ++i) {
     const Result& result = node.results.back(i);
-    if (!result.timed) continue;  // a quick error is no sign of speed
+    if (!result.timed) continue;  // a quick error or a client in a hurry is no sign of speed
     sum += std::clamp(result.ratio, 0.3, 8.0);
   }
   double slow = std::max(1.0, (sum + 3) / (static_cast<double>(young) + 3) / 1.3);
@@ -584,7 +584,7 @@
   auto poorly_in = [&](const Arm& arm) {
     return std::count_if(arm.by_node.begin(), arm.by_node.end(), [&](auto& c) { return poorly(c.second); });
   };
-  auto most_left_out = std::max<long>(1, static_cast<long>(young.by_node.size() / 5));
+  auto most_left_out = std::max<long>(1, static_cast<long>(young.by_node.size() / (compared ? 5 : 2.5)));
   bool few_of_many = static_cast<long>(young.by_node.size()) >= 5 * poorly_in(young);
   if ((poorly_in(lately) > 0 || few_of_many) && poorly_in(young) <= most_left_out) {
     std::map<int, Counts> by_node = young.by_node;
@@ -756,13 +756,15 @@
 constexpr double wait_least = 0.45, wait_more = 0.3;  // of the SLA time, by the txn's revenue
 constexpr int declined_few = 5;                       // of the last hundred txns
 constexpr Span hold_step = 25ms;
+constexpr std::size_t slow_kept = 8;
+constexpr double slow_part = 0.4, over_share_power = 3;
 constexpr double jam_part = 0.75, jam_falls = 1.25, jam_rises = 0.25, open_least = 0.05, least_pace = 16,
                  open_full = 0.9;
 }  // namespace
 
 Txns::Txns(const TxnSettings& settings, Nodes& nodes, Exposure& exposure, Chance& chance)
     : settings_(settings), nodes_(nodes), exposure_(exposure), chance_(chance), again_(again_kept),
-      declined_(again_kept), tenants_(tenants_kept) {}
+      declined_(again_kept), tenants_(tenants_kept), slow_(slow_kept) {}
 
 void Txns::arrived(const Arrival& asked, Span now) {
   tenants_.push(asked.tenant);
@@ -785,13 +787,18 @@
 // at a node, where each brings it a small part of its work. It may shed for a moment when silent nodes
 // swallow txns.
 void Txns::felt(const Submission& one, Outcome outcome, int product, Span now) {
-  bool late = now - one.sent > from_millis(jam_part * millis(settings_.products[product].sla));
-  if (nodes_.warmth(one.node, one.sent) < 1 || !nodes_.near(one.node) ||
-      proves_not_run(outcome) != (outcome == Outcome::full))
+  const bool full = outcome == Outcome::full, ok = outcome == Outcome::ok;
+  const double part = nodes_.sla_part(product, now - one.sent);
+  if (nodes_.warmth(one.node, one.sent) < 1 || !nodes_.near(one.node)) return;
+  if (ok) slow_.push(part > slow_part);
+  // A txn that its client gave up early tells nothing, nor does one lost while those answered come quickly.
+  bool jam = full || part > jam_part;
+  if (!ok && !full &&
+      (!jam || outcome != Outcome::timeout || 2 * count(slow_) < static_cast<int>(slow_.size())))
     return;
   double step = 1 / std::max(least_pace, nodes_.pace(now));
-  open_ = late || outcome == Outcome::full ? std::max(open_least, open_ * (1 - jam_falls * step))
-                                           : std::min(1.0, open_ + jam_rises * step);
+  open_ =
+      jam ? std::max(open_least, open_ * (1 - jam_falls * step)) : std::min(1.0, open_ + jam_rises * step);
 }
 
 void Txns::ended(int id, int submission, Outcome outcome, bool settled, Span now) {
@@ -1017,8 +1024,9 @@
   if (txn.submissions.empty() && txn.look_at == Span{} && shedding()) {
     double mean = 0;
     for (const Product& other : settings_.products) mean += other.revenue / settings_.products.size();
-    if (draw(chance_) > std::pow(open_, mean / std::max(0.1, product.revenue)))
-      return finish(id, txn, settings_.max_pause, now);
+    double power =
+        mean / std::max(0.1, product.revenue) * (over_share(txn.asked.tenant) ? over_share_power : 1);
+    if (draw(chance_) > std::pow(open_, power)) return finish(id, txn, settings_.max_pause, now);
   }
   if (!more || !worth_it) return finish(id, txn, settings_.max_pause, now);
   int node = place(txn, now);
--- a/src/logic.h
+++ b/src/logic.h
@@ -197,6 +197,7 @@
   std::priority_queue<std::pair<Span, int>, std::vector<std::pair<Span, int>>, std::greater<>> looks_{};
   Samples<char> again_, declined_;
   Samples<int> tenants_;
+  Samples<char> slow_;
   double open_ = 1;  // the part of txns that is let in
 };
 
--- a/src/state.h
+++ b/src/state.h
@@ -119,7 +119,7 @@
   double ratio;  // latency over the product's usual one
   Span took;
   int in_hand;  // own txns that the node held when this one was sent, itself included
-  bool timed;   // not a quick error
+  bool timed;   // not a quick error, nor a client that left early
 };
 
 struct Node {
