--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -6,18 +6,11 @@
 
 #include <set>
 
-#include "figures.h"
-
 namespace robinhoist {
 namespace {
 
 using namespace std::chrono_literals;
 
-bool lost(Outcome o) { return o == Outcome::timeout || o == Outcome::no_connection || o == Outcome::reset; }
-bool proves_not_run(Outcome o) {
-  return o == Outcome::full || o == Outcome::no_connection || o == Outcome::moot;
-}
-
 // Nodes
 constexpr std::size_t results_kept = 16, took_kept = 64, sent_kept = 40;
 constexpr Span result_life = 5s;     // health goes by results no older than this
@@ -27,18 +20,16 @@
 constexpr Span full_rest = 100ms;    // a node that turned work away, doubling while it does
 constexpr double cold_margin = 0.6;  // part of what the cold rule allows that is used
 constexpr double cold_least = 8;     // txns a window that all umpires together may send any cold node
-constexpr double golden = 0.6180339887498949;
-constexpr Span thin_life = 1s;    // one answer alone tells of a node's queue for so long
-constexpr double reach_pace = 2;  // submissions a second that an umpire's node should get from it,
+constexpr Span thin_life = 1s;       // one answer alone tells of a node's queue for so long
+constexpr double reach_pace = 2;     // submissions a second that an umpire's node should get from it,
 constexpr std::size_t reach_least = 4, reach_refused = 2;  // but so many nodes at least, or so few
 constexpr double refused_part = 0.15;                      // when this part of all connections is refused
 constexpr Span ask_pause_least = 400ms, ask_pause_most = 3s;
 }  // namespace
 
 Nodes::Nodes(const NodeSettings& settings, const std::vector<Product>& products)
-    : settings_(settings), products_(products), took_(products.size(), Samples<Took>(took_kept)),
-      sorted_(products.size()), unsorted_(products.size(), 0), sent_(sent_kept), refused_(sent_kept),
-      ask_pause_(ask_pause_least) {}
+    : settings_(settings), products_(products), took_(products.size(), Spread(took_kept)), per_hint_(took_),
+      sent_(sent_kept), refused_(sent_kept), ask_pause_(ask_pause_least) {}
 
 void Nodes::news(ListNews kind, const std::vector<NodeNews>& entries, Span now) {
   if (kind == ListNews::failed) {
@@ -60,26 +51,19 @@
       node.heard_at = node.full_at = node.back_at = node.cold_sent = long_ago;
       node.told = now;
     }
+    static_cast<NodeNews&>(node) = entry;
     node.listed = true;
-    node.phase = entry.phase;
-    node.zone = entry.zone;
-    node.cell = entry.cell;
-    node.build = entry.build;
-    node.order = entry.order;
-    node.size = settings_.sized && entry.size > 0 ? entry.size : 1;
-    node.started = entry.started;
+    if (!settings_.sized || entry.size <= 0) node.size = 1;
   }
-  newest_ = -1;
+  std::vector<int> ordered;
   for (int n = 0; n < static_cast<int>(nodes_.size()); ++n)
-    if (open(n)) newest_ = std::max(newest_, nodes_[n].build);
-  for (auto& arm : rings_)
-    for (auto& ring : arm) ring.clear();
-  for (int n = 0; n < static_cast<int>(nodes_.size()); ++n)
-    if (open(n)) rings_[nodes_[n].build == newest_][near(n)].push_back(n);
-  for (auto& arm : rings_)
-    for (auto& ring : arm)
-      std::sort(ring.begin(), ring.end(),
-                [&](int a, int b) { return std::pair(nodes_[a].order, a) < std::pair(nodes_[b].order, b); });
+    if (open(n)) ordered.push_back(n);
+  std::sort(ordered.begin(), ordered.end(),
+            [&](int a, int b) { return std::pair(nodes_[a].order, a) < std::pair(nodes_[b].order, b); });
+  newest_ = -1;
+  for (int n : ordered) newest_ = std::max(newest_, nodes_[n].build);
+  for (auto* ring : {&rings_[0][0], &rings_[0][1], &rings_[1][0], &rings_[1][1]}) ring->clear();
+  for (int n : ordered) rings_[nodes_[n].build == newest_][near(n)].push_back(n);
 }
 
 bool Nodes::open(int n) const { return nodes_[n].listed && nodes_[n].phase == NodePhase::in; }
@@ -145,27 +129,17 @@
 }
 
 void Nodes::learn(int product, Span took, double hint_ms) {
-  took_[product].push({millis(took), hint_ms > 0 ? millis(took) / hint_ms : millis(took)});
-  ++unsorted_[product];
+  took_[product].push(millis(took));
+  if (hint_ms > 0) per_hint_[product].push(millis(took) / hint_ms);
 }
 
 double Nodes::usual_ms(int product, double part) {
-  std::vector<double>& sorted = sorted_[product];
-  if (unsorted_[product] > 8 || sorted.size() < took_kept / 8) {
-    sorted.clear();
-    for (std::size_t i = 0; i < took_[product].size(); ++i) sorted.push_back(took_[product].back(i).ms);
-    std::sort(sorted.begin(), sorted.end());
-    unsorted_[product] = 0;
-  }
-  if (sorted.empty()) return millis(products_[product].sla) / 4;
-  return sorted[std::min(sorted.size() - 1, static_cast<std::size_t>(part * sorted.size()))];
+  return took_[product].empty() ? millis(products_[product].sla) / 4 : took_[product].at(part);
 }
 
 double Nodes::ratio(int product, Span took, double hint_ms) {
-  if (hint_ms <= 0 || took_[product].size() == 0) return millis(took) / usual_ms(product, 0.5);
-  std::vector<double> rates;
-  for (std::size_t i = 0; i < took_[product].size(); ++i) rates.push_back(took_[product].back(i).per_hint);
-  return millis(took) / hint_ms / quantile(rates, 0.5);
+  if (hint_ms <= 0 || per_hint_[product].empty()) return millis(took) / usual_ms(product, 0.5);
+  return millis(took) / hint_ms / per_hint_[product].at(0.5);
 }
 
 double Nodes::sla_part(int product, Span took) const { return millis(took) / millis(products_[product].sla); }
@@ -197,10 +171,9 @@
                 (std::max(1, warm_) * reached_by);
   most = std::max(most, std::min(1.0, cold_least / (settings_.umpires * reached_by)));
   if (most >= 1) return node.sends.size() + 1 <= most;
-  double turn = (settings_.me + n) * golden;
   Span gap = from_millis(millis(settings_.fall_window) / most);
   return now >=
-         std::max(node.cold_sent + gap, node.told + from_millis(millis(gap) * (turn - std::floor(turn))));
+         std::max(node.cold_sent + gap, node.told + from_millis(millis(gap) * golden_part(settings_.me + n)));
 }
 
 // A node that lost two in a row, without a word between, rests; then one txn at a time tries it.
@@ -211,11 +184,12 @@
   return now < node.dead_at + rest || !node.out.empty();
 }
 
-// How many of the last results are young enough to tell of the node's health.
-static std::size_t recent(const Node& node, Span now) {
-  std::size_t seen = 0;
-  while (seen < node.results.size() && node.results.back(seen).at >= now - result_life) ++seen;
-  return seen;
+// The last results that are young enough to tell of the node's health.
+static std::vector<const Result*> recent(const Node& node, Span now) {
+  std::vector<const Result*> young;
+  for (std::size_t i = 0; i < node.results.size() && node.results.back(i).at >= now - result_life; ++i)
+    young.push_back(&node.results.back(i));
+  return young;
 }
 
 // Guards against nodes that swallow, fail or turn away work, whatever the cause. It hurts when all nodes
@@ -226,14 +200,13 @@
     return false;
   if (!node.out.empty() && node.heard_at < node.out.front() && now - node.out.front() > patience())
     return false;
-  const std::size_t young = recent(node, now);
-  std::size_t failed = 0;
+  std::size_t failed = 0, young = 0;
   Span last = long_ago;
-  for (std::size_t i = 0; i < young; ++i) {
-    const Result& result = node.results.back(i);
-    if (result.ok) continue;
+  for (const Result* result : recent(node, now)) {
+    ++young;
+    if (result->ok) continue;
     ++failed;
-    last = std::max(last, result.at);
+    last = std::max(last, result->at);
   }
   if (failed >= 3 && failed * 4 >= young) return now > last + failing_rest && node.out.empty();
   return true;
@@ -250,14 +223,12 @@
 // Own txns in flight, weighed by size, warmth and how slow the node's last answers were.
 double Nodes::cost(int n, Span now) {
   const Node& node = nodes_[n];
-  const std::size_t young = recent(node, now);
-  double sum = 0;
-  for (std::size_t i = 0; i < young; ++i) {
-    const Result& result = node.results.back(i);
-    if (!result.timed) continue;  // a quick error or a client in a hurry is no sign of speed
-    sum += std::clamp(result.ratio, 0.3, 8.0);
+  double sum = 3, seen = 3;
+  for (const Result* result : recent(node, now)) {
+    sum += result->timed ? std::clamp(result->ratio, 0.3, 8.0) : 1;  // a quick error is no sign of speed
+    ++seen;
   }
-  double slow = std::max(1.0, (sum + 3) / (static_cast<double>(young) + 3) / 1.3);
+  double slow = std::max(1.0, sum / seen / 1.3);
   // A fresh report tells of others' work there; half of it counts, as all umpires hear the same and late.
   double own = static_cast<double>(node.out.size());
   const Load load = now < node.load_at + report_life ? node.load : Load{};
@@ -271,15 +242,14 @@
 // build that needs more work. It may shed too early when few answers have been seen.
 Span Nodes::wait(int n, Span now) {
   const Node& node = nodes_[n];
-  const std::size_t young = recent(node, now);
   double took = 0, in_hand = 0;
-  for (std::size_t i = 0; i < young; ++i) {
-    const Result& result = node.results.back(i);
-    if (!result.timed) continue;
-    took += seconds(result.took);
-    in_hand += result.in_hand;
+  for (const Result* result : recent(node, now)) {
+    if (!result->timed) continue;
+    took += seconds(result->took);
+    in_hand += result->in_hand;
   }
-  if (in_hand < results_kept / 4 && (young == 0 || node.results.back(0).at < now - thin_life)) return Span{};
+  if (in_hand < results_kept / 4 && (in_hand == 0 || node.results.back(0).at < now - thin_life))
+    return Span{};
   return from_millis(1e3 * (node.out.size() + 1) * took / in_hand);
 }
 
@@ -296,9 +266,7 @@
 // of any node and open a connection for nearly every txn; so each keeps to a few, more the more it sends,
 // and to two where connections are refused right and left: then nodes take only so many umpires.
 std::size_t Nodes::reach(Span now) const {
-  double refused = 0;
-  for (std::size_t i = 0; i < refused_.size(); ++i) refused += refused_.back(i);
-  bool few = refused > std::max(2.0, refused_part * refused_.size());
+  bool few = count(refused_) > std::max(2.0, refused_part * refused_.size());
   return std::max(few ? reach_refused : reach_least,
                   static_cast<std::size_t>(std::ceil(pace(now) / reach_pace / (few ? 5 : 1))));
 }
@@ -315,8 +283,7 @@
   const std::size_t most = reach(now);
   for (bool close : {true, false}) {
     const std::vector<int>& ring = rings_[young][close];
-    const double turn = settings_.me * golden;
-    const std::size_t start = static_cast<std::size_t>((turn - std::floor(turn)) * ring.size());
+    const std::size_t start = static_cast<std::size_t>(golden_part(settings_.me) * ring.size());
     std::size_t used = 0;
     for (std::size_t i = 0; i < ring.size() && used < most; ++i) {
       int n = ring[(start + i) % ring.size()];
@@ -488,16 +455,8 @@
     double log_ratio = std::log(std::clamp(sample.ratio, 0.05, 20.0)) - usual;
     for (Counts* counts : {&arm.by_node[sample.node], &arm.by_product[sample.product],
                            &arm.by_tenant[sample.tenant], &arm.by_time[time], &arm.all}) {
-      counts->n += 1;
-      counts->near += near;
-      counts->due += near ? (then.failed + then.lost) / std::max(1.0, then.n) : 0;
-      counts->failed += sample.failed;
-      counts->lost += sample.lost && near;
-      if (!sample.warm || (beside && then.timed < 3)) continue;
-      counts->timed += 1;
-      counts->sum += log_ratio;
-      counts->whole += std::log(std::clamp(sample.sla_part, 0.001, 10.0));
-      counts->squares += log_ratio * log_ratio;
+      counts->add(sample, near, near ? (then.failed + then.lost) / std::max(1.0, then.n) : 0);
+      if (sample.warm && (!beside || then.timed >= 3)) counts->time(log_ratio, sample.sla_part);
     }
     if (sample.warm) arm.sla_parts.push_back(sample.sla_part);
   }
@@ -517,14 +476,13 @@
   if (more > shared_load) return false;
   // Queues grow faster than the load: so much more is asked of the slowness.
   double slower = std::log(shared_slow * more * more);
-  auto mean = [](const Counts& c) { return c.whole / c.timed; };
   int slow = 0, seen = 0;
   for (auto& [node, counts] : fleet.by_node) {
     if (counts.timed < 2) continue;
     ++seen;
-    slow += mean(counts) > *usual_part_ + slower / 2;
+    slow += counts.whole / counts.timed > *usual_part_ + slower / 2;
   }
-  return mean(fleet.all) > *usual_part_ + slower && 5 * slow >= 4 * seen;
+  return fleet.all.whole / fleet.all.timed > *usual_part_ + slower && 5 * slow >= 4 * seen;
 }
 
 // From when on the fleet is looked at: a short while, or longer where answers are few.
@@ -653,10 +611,6 @@
   if (compared && 2 * old_nodes >= young_nodes && young.all.timed >= least_submissions &&
       old.all.timed >= 2 * least_submissions) {
     double young_p99 = quantile(young.sla_parts, 0.99), old_p99 = quantile(old.sla_parts, 0.99);
-    auto mean = [](const Counts& c) { return c.sum / c.timed; };
-    auto spread = [&](const Counts& c) {
-      return std::max(0.0, c.squares / c.timed - mean(c) * mean(c)) / c.timed;
-    };
     // A build slows all its machines, a slow machine only itself. One machine alone tells nothing while one
     // of the older build is as slow.
     auto slow = [](double least, double answers) {
@@ -668,10 +622,10 @@
     bool most_slow =
         young.machines() * (young.least() > 1 ? 0.75 : 0.6) <= slow_ones &&
         (slow_ones > 1 || std::none_of(lately.by_node.begin(), lately.by_node.end(), slow(1.5, 2)));
-    double apart = mean(young.all);  // as tallied, against the older build's at the same time
+    double apart = young.all.mean();  // as tallied, against the older build's at the same time
     // Machines differ among themselves: few machines tell little, however many answers they gave.
     double machines = machine_spread * machine_spread * (1 / young.machines() + 1 / old.machines());
-    double error = std::sqrt(spread(young.all) + spread(old.all) + machines);
+    double error = std::sqrt(young.all.doubt() + old.all.doubt() + machines);
     const double sure = std::sqrt(std::log(level_) / std::log(beyond_chance));
     // A p99 of so few answers is one machine's bad second; the middle must have moved too.
     if (young.all.timed >= 100 && young_p99 > 1 && young_p99 > 2 * old_p99 && apart > 0.42 && window &&
@@ -938,12 +892,6 @@
 
 bool Txns::shedding() const { return open_ < open_full; }
 
-int Txns::count(const Samples<char>& of) {
-  int sum = 0;
-  for (std::size_t i = 0; i < of.size(); ++i) sum += of.back(i);
-  return sum;
-}
-
 int Txns::place(const Txn& txn, Span now) {
   const Product& product = settings_.products[txn.asked.product];
   const int newest = nodes_.newest();
@@ -1107,13 +1055,7 @@
     Finding found =
         trial_.judge(nodes_.all(), trial_per_s, pace_of(firsts_, now) / std::max(0.1, nodes_.able(now)), now);
     ballot_.wants(found.verdict, now, chance_);
-    const char* words[] = {"watching", "on", "hold", "back"};
-    std::string mode = words[static_cast<int>(found.verdict)];
-    if (const auto& rel = trial_.rel()) {
-      const char* phases[] = {"trial", "going back", "released", "withdrawn"};
-      mode += " build " + std::to_string(rel->build) + " stage " + std::to_string(rel->stage) + " " +
-              phases[static_cast<int>(rel->phase)];
-    }
+    std::string mode = mode_text(found.verdict, trial_.rel());
     if (mode != mode_) log_.push_back(mode + (found.why.empty() ? "" : ": " + found.why));
     mode_ = mode;
   }
--- a/src/logic.h
+++ b/src/logic.h
@@ -8,7 +8,7 @@
 #include <random>
 #include <unordered_map>
 
-#include "state.h"
+#include "figures.h"
 
 namespace robinhoist {
 
@@ -50,9 +50,7 @@
   NodeSettings settings_;
   std::vector<Product> products_;
   std::vector<Node> nodes_{};
-  std::vector<Samples<Took>> took_{};
-  std::vector<std::vector<double>> sorted_{};
-  std::vector<int> unsorted_{};
+  std::vector<Spread> took_, per_hint_;  // how long answers took: ms, and for each ms of hinted work
   std::deque<std::pair<Span, int>> settled_{};
   int warm_ = 0, newest_ = -1;
   std::vector<int> rings_[2][2]{};  // open nodes by order: of the newest build or not, near or not
@@ -104,9 +102,6 @@
   const std::optional<RelNews>& rel() const { return rel_; }
 
  private:
-  struct Counts {
-    double n = 0, failed = 0, lost = 0, timed = 0, sum = 0, squares = 0, whole = 0, near = 0, due = 0;
-  };
   struct Arm {
     std::map<int, Counts> by_node{}, by_tenant{};
     std::map<long, Counts> by_time{};
@@ -181,7 +176,6 @@
   void felt(const Submission& one, Outcome outcome, int product, Span now);
   Span longest_wait(const Txn& txn, Span now) const;
   bool over_share(int tenant) const;
-  static int count(const Samples<char>& of);
   bool may_go(const Txn& txn, int node, Span now) const;
   bool may_have_run(const Txn& txn) const;
   void look(int id, Txn& txn, Span at);
--- a/src/samples.h
+++ b/src/samples.h
@@ -1,5 +1,6 @@
 // The last few samples of something, oldest overwritten first. The owner says how many are kept.
 #pragma once
+#include <algorithm>
 #include <cstddef>
 #include <vector>
 
@@ -31,4 +32,29 @@
   std::vector<T> kept_;
 };
 
+// The last few of some figure, and what lies so far up among them; sorted anew only now and then.
+class Spread {
+ public:
+  explicit Spread(std::size_t most) : most_(most), last_(most) {}
+  void push(double value) {
+    last_.push(value);
+    ++unsorted_;
+  }
+  bool empty() const { return last_.size() == 0; }
+  double at(double part) {
+    if (unsorted_ > most_ / 8 || sorted_.size() < most_ / 8) {
+      sorted_.clear();
+      for (std::size_t i = 0; i < last_.size(); ++i) sorted_.push_back(last_.back(i));
+      std::sort(sorted_.begin(), sorted_.end());
+      unsorted_ = 0;
+    }
+    return sorted_[std::min(sorted_.size() - 1, static_cast<std::size_t>(part * sorted_.size()))];
+  }
+
+ private:
+  std::size_t most_, unsorted_ = 0;
+  Samples<double> last_;
+  std::vector<double> sorted_{};
+};
+
 }  // namespace robinhoist
--- a/src/state.h
+++ b/src/state.h
@@ -19,6 +19,13 @@
 enum class Group { all, zone, cell };
 enum class NodePhase { in, lame, out };
 enum class Outcome { ok, error, full, timeout, no_connection, reset, cancelled, moot, unknown };
+inline bool lost(Outcome o) {
+  return o == Outcome::timeout || o == Outcome::no_connection || o == Outcome::reset;
+}
+inline bool proves_not_run(Outcome o) {
+  return o == Outcome::full || o == Outcome::no_connection || o == Outcome::moot;
+}
+
 enum class Gate { first_vote, count, clock };
 enum class RelPhase { trial, going_back, released, withdrawn };
 enum class Verdict { none, on, hold, back };
@@ -122,13 +129,8 @@
   bool timed;   // not a quick error, nor a client that left early
 };
 
-struct Node {
+struct Node : NodeNews {
   bool listed = false;
-  NodePhase phase = NodePhase::out;
-  int zone = 0, cell = 0, build = 0;
-  std::uint64_t order = 0;
-  double size = 1;
-  Span started{};
   int dead_run = 0;                            // submissions lost in a row without any reply
   int full_run = 0;                            // submissions turned away in a row
   int settled = 0;                             // answers of late, while warm
@@ -164,11 +166,6 @@
   double ratio, sla_part;  // latency over the product's usual one, and over its SLA time
 };
 
-// How long an answer took, as it is and for each millisecond of hinted work.
-struct Took {
-  double ms, per_hint;
-};
-
 // What is known of the release now offered, as judged from one arm's view.
 struct Finding {
   Verdict verdict = Verdict::none;
