--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -423,7 +423,7 @@
     condemned_ = {};
     // What is too little to judge a stage by is carried into the next: else quiet umpires never see enough.
     bool next = rel_ && rel_->build == rel.build && rel.phase == RelPhase::trial;
-    if (!next || fresh_.size() >= least_submissions) {
+    if (!next || !many_votes() || fresh_.size() >= least_submissions) {
       fresh_.clear();
       counted_from_ = stage_at_;
     }
@@ -487,12 +487,12 @@
 
 // From when on the fleet is looked at: a short while, or longer where answers are few.
 Span Trial::since(const Samples<Sample>& of, Span now) const {
-  Span enough = of.size() < fleet_enough ? long_ago : of.back(fleet_enough - 1).at;
+  Span enough = !many_votes() ? now : of.size() < fleet_enough ? long_ago : of.back(fleet_enough - 1).at;
   return std::clamp(enough, now - fleet_most, now - shared_window);
 }
 
-double Trial::Arm::machines() const {
-  auto tells = [this](auto& c) { return c.second.timed >= least(); };
+double Trial::Arm::machines(double least) const {
+  auto tells = [=](auto& c) { return c.second.timed >= least; };
   return std::max(1.0, static_cast<double>(std::count_if(by_node.begin(), by_node.end(), tells)));
 }
 
@@ -514,7 +514,9 @@
     if (rel_->stage == 1 && usual_part_ && part > *usual_part_ + std::log(shared_before)) usual_part_.reset();
   }
   look_at_fleet_ = false;
-  if (fresh_.size() < least_submissions / 2 || !shared_harm(load, compared, now)) slow_from_ = now;
+  if (fresh_.size() < least_submissions / 2 || !(compared || many_votes()) ||
+      !shared_harm(load, compared, now))
+    slow_from_ = now;
   if (now - slow_from_ >= shared_window) return condemn(figures("all slower; load", load, usual_load_));
   // A tenant whose txns fail at the older build, as others' do not, tells nothing of the new one: guards
   // against floods that fail anywhere. They are the first to be kept from full queues, and so gather at a
@@ -611,6 +613,9 @@
   if (compared && 2 * old_nodes >= young_nodes && young.all.timed >= least_submissions &&
       old.all.timed >= 2 * least_submissions) {
     double young_p99 = quantile(young.sla_parts, 0.99), old_p99 = quantile(old.sla_parts, 0.99);
+    // Of a build spread thinly over many machines one answer each must do.
+    const double few =
+        many_votes() && young.all.timed < 3 * static_cast<double>(young.by_node.size()) ? 1 : 3;
     // A build slows all its machines, a slow machine only itself. One machine alone tells nothing while one
     // of the older build is as slow.
     auto slow = [](double least, double answers) {
@@ -618,13 +623,13 @@
         return c.second.timed >= answers && c.second.sum > std::log(least) * c.second.timed;
       };
     };
-    long slow_ones = std::count_if(young.by_node.begin(), young.by_node.end(), slow(1.3, young.least()));
+    long slow_ones = std::count_if(young.by_node.begin(), young.by_node.end(), slow(1.3, few));
     bool most_slow =
-        young.machines() * (young.least() > 1 ? 0.75 : 0.6) <= slow_ones &&
+        young.machines(few) * (few > 1 ? 0.75 : 0.6) <= slow_ones &&
         (slow_ones > 1 || std::none_of(lately.by_node.begin(), lately.by_node.end(), slow(1.5, 2)));
     double apart = young.all.mean();  // as tallied, against the older build's at the same time
     // Machines differ among themselves: few machines tell little, however many answers they gave.
-    double machines = machine_spread * machine_spread * (1 / young.machines() + 1 / old.machines());
+    double machines = machine_spread * machine_spread * (1 / young.machines(few) + 1 / old.machines(few));
     double error = std::sqrt(young.all.doubt() + old.all.doubt() + machines);
     const double sure = std::sqrt(std::log(level_) / std::log(beyond_chance));
     // A p99 of so few answers is one machine's bad second; the middle must have moved too.
--- a/src/logic.h
+++ b/src/logic.h
@@ -108,10 +108,9 @@
     std::vector<Counts> by_product{};
     Counts all{};
     std::vector<double> sla_parts{};
-    double machines() const;  // warm ones that gave a few answers
-    // Of a build spread thinly over many machines one answer each must do.
-    double least() const { return all.timed >= 3 * static_cast<double>(by_node.size()) ? 3 : 1; }
+    double machines(double least) const;  // warm ones that gave so many answers
   };
+  bool many_votes() const { return settings_.to_revert > 1; }
   Finding condemn(const std::string& why);
   bool shared_harm(double load, bool compared, Span now) const;
   Span since(const Samples<Sample>& of, Span now) const;
