--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -471,7 +471,7 @@
   auto none = [](const Sample&) { return false; };
   tally(fleet, older_, since(older_, now), none);
   if (!compared) tally(fleet, fresh_, since(fresh_, now), none);
-  if (!usual_part_ || rel_->stage == 0 || fleet.all.timed < fleet_enough * 2 / 3) return false;
+  if (!usual_part_ || rel_->stage == 0 || fleet.all.timed < fleet_enough * (many_votes() ? 0.6 : 1)) return false;
   double more = std::max(1.0, load / usual_load_);
   if (more > shared_load) return false;
   // Queues grow faster than the load: so much more is asked of the slowness.
@@ -506,7 +506,7 @@
   if (look_at_fleet_ && rel_->phase == RelPhase::trial && rel_->stage <= 1) {
     Arm before;
     tally(before, older_, since(older_, now - shared_window), [](const Sample&) { return false; });
-    bool known = before.all.timed >= fleet_enough * 2 / 3 && load > 0;
+    bool known = before.all.timed >= fleet_enough * (many_votes() ? 0.6 : 1) && load > 0;
     double part = known ? before.all.whole / before.all.timed : 0;
     if (rel_->stage == 0 && known) usual_load_ = load;
     if (rel_->stage == 0 && known) usual_part_ = part;
@@ -517,7 +517,7 @@
   if (fresh_.size() < least_submissions / 2 || !(compared || many_votes()) ||
       !shared_harm(load, compared, now))
     slow_from_ = now;
-  if (now - slow_from_ >= shared_window) return condemn(figures("all slower; load", load, usual_load_));
+  if (now - slow_from_ >= 2 * shared_window) return condemn(figures("all slower; load", load, usual_load_));
   // A tenant whose txns fail at the older build, as others' do not, tells nothing of the new one: guards
   // against floods that fail anywhere. They are the first to be kept from full queues, and so gather at a
   // trial's machines.
@@ -590,7 +590,7 @@
   double luck = tail(wrong, given * (old_wrong + 1) / (old_given + 250));
   doubtful |= wrong >= 1 && luck < 0.1;
   bool many = wrong > 0.5 * failure_threshold * settings_.flag_share * given;
-  if (wrong >= (settings_.to_revert > 1 ? 1 : 2) && many && luck < std::max(0.004, level_))
+  if (wrong >= (many_votes() ? 1 : 3) && many && luck < std::max(0.002, level_))
     return condemn(figures("wrong answers", wrong, given));
 
   Span latest = stage_at_;
