--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -104,18 +104,15 @@
     node.heard_at = now;
   }
   refused_.push(outcome == Outcome::no_connection);
+  squeezed_ = count(refused_) > std::max(2.0, refused_part * refused_.size());
   node.full_run = outcome == Outcome::full ? node.full_run + 1 : 0;
-  if (outcome == Outcome::full) {
-    node.full_at = now;
-    return;
-  }
+  if (outcome == Outcome::full) return void(node.full_at = now);
   // A late answer of a node that answers others is a matter of load, not of health.
   bool well = outcome == Outcome::ok || (outcome == Outcome::timeout && node.heard_at >= submission.sent);
   node.results.push({now, well, ratio(txn.product, took, txn.hint_ms), took, submission.in_hand,
                      outcome != Outcome::error});
   if (outcome != Outcome::ok) return;
-  // What one warm node carries, for the cold rule. Only warm nodes count, with all that answered, also those
-  // gone since: else a fleet nearly all cold, or one being swapped, looks far more able than it is.
+  // What one warm node carries: those gone since count too, else a fleet being swapped looks far more able.
   if (warmth(submission.node, submission.sent) < 1) return;
   settled_.push_back({now, submission.node});
   ++node.settled;
@@ -180,7 +177,7 @@
 bool Nodes::resting(int n, Span now) const {
   const Node& node = nodes_[n];
   if (node.dead_run < 2) return false;
-  Span rest = first_bench * (1 << std::min(node.dead_run - 2, 3));
+  Span rest = first_bench * (1 << std::min(node.dead_run - 2, squeezed_ ? 5 : 3));
   return now < node.dead_at + rest || !node.out.empty();
 }
 
@@ -192,8 +189,7 @@
   return young;
 }
 
-// Guards against nodes that swallow, fail or turn away work, whatever the cause. It hurts when all nodes
-// are poorly: then choose() falls back on the least bad.
+// Guards against nodes that swallow, fail or turn away work; when all are poorly the least bad serve.
 bool Nodes::well(int n, Span now) {
   Node& node = nodes_[n];
   if (node.full_run > 0 && now < node.full_at + full_rest * (1 << std::min(node.full_run - 1, 4)))
@@ -238,8 +234,7 @@
 }
 
 // How long one more txn would take there: by Little's law, own txns in hand over the pace of late. Guards
-// against queues that no answer survives, whatever fills them: bursts, retries, slow or missing machines, a
-// build that needs more work. It may shed too early when few answers have been seen.
+// against queues that no answer survives, whatever fills them. It may shed too early on few answers.
 Span Nodes::wait(int n, Span now) {
   const Node& node = nodes_[n];
   double took = 0, in_hand = 0;
@@ -266,9 +261,8 @@
 // of any node and open a connection for nearly every txn; so each keeps to a few, more the more it sends,
 // and to two where connections are refused right and left: then nodes take only so many umpires.
 std::size_t Nodes::reach(Span now) const {
-  bool few = count(refused_) > std::max(2.0, refused_part * refused_.size());
-  return std::max(few ? reach_refused : reach_least,
-                  static_cast<std::size_t>(std::ceil(pace(now) / reach_pace / (few ? 5 : 1))));
+  return std::max(squeezed_ ? reach_refused : reach_least,
+                  static_cast<std::size_t>(std::ceil(pace(now) / reach_pace / (squeezed_ ? 5 : 1))));
 }
 
 double Nodes::pace(Span now) const { return pace_of(sent_, now); }
@@ -279,7 +273,7 @@
 int Nodes::choose(bool young, const std::function<bool(int)>& may, bool careful, Span longest, Span now,
                   Chance& chance) {
   std::vector<int> found[2], poorly;
-  std::size_t busy = 0;
+  std::size_t usable = 0;
   const std::size_t most = reach(now);
   for (bool close : {true, false}) {
     const std::vector<int>& ring = rings_[young][close];
@@ -292,13 +286,12 @@
         poorly.push_back(n);
         continue;
       }
-      ++used;
+      ++used, ++usable;
       if (wait(n, now) > longest) ++busy;
       else found[close].push_back(n);
     }
   }
-  if (poorly.size() > 2 * (found[0].size() + found[1].size() + busy))
-    return better_of_two(poorly, now, chance);
+  if (poorly.size() > 2 * usable) return better_of_two(poorly, now, chance);
   int a = better_of_two(found[1], now, chance), b = better_of_two(found[0], now, chance);
   if (a < 0 || b < 0) return a < 0 ? b : a;
   return cost(a, now) > 1.3 * cost(b, now) + 1 ? b : a;
@@ -366,15 +359,6 @@
   return of.sent.size() + 1 <= settings_.free + most * of.taken.size();
 }
 
-double Exposure::taken_per_s(Span now) {
-  double all = 0;
-  for (Count& of : counts_) {
-    trim(of, now);
-    all += of.taken.size();
-  }
-  return all / seconds(settings_.window);
-}
-
 // Trial
 namespace {
 constexpr std::size_t fresh_kept = 600, older_kept = 800, fleet_enough = 30;
@@ -383,17 +367,14 @@
 constexpr Span same_time = 2s;         // outcomes of both builds are compared in spans of this
 constexpr Span least_window = 4s;      // from the latest start in the stage
 constexpr double failure_threshold = 0.03, flood_threshold = 0.2;  // beside older machines, and without
-constexpr double beyond_chance = 0.001;  // how unlikely failures must be before they count as the build's,
-constexpr double level_most = 0.03;      // and at most where many umpires must agree
+constexpr double beyond_chance = 0.001, level_most = 0.03;  // of failures: for one vote, and at most for many
 constexpr double machine_spread = 0.22;  // of the logarithm of a machine's latency, load included
-constexpr Span fleet_most = 8s;
-constexpr Span shared_window = 1500ms;  // so long must the whole fleet be slower,
-constexpr double shared_before = 1.4, shared_slow = 1.7,
-                 shared_load = 1.3;  // by this, at no more than this times the load
+// How much slower the whole fleet must be, for twice so long, at what load, and than what it may be before.
+constexpr double shared_slow = 1.7, shared_load = 1.3, shared_before = 1.4;
+constexpr Span shared_window = 1500ms, fleet_most = 8s;
 constexpr Span clock_lag = 500ms;    // a step is near its end so long after latest start and step time
 constexpr Span poorly_memory = 10s;  // machines of the older build that were poorly so lately
-constexpr Span hold_few = 1s;        // or so long when figures are merely few
-constexpr Span hold_most = 4s;       // a stage is held up no longer than this for want of evidence
+constexpr Span hold_few = 1s, hold_most = 4s;  // the longest hold, for few figures and for doubtful ones
 }  // namespace
 
 Trial::Trial(const GateSettings& settings, int products)
@@ -444,8 +425,7 @@
     const Sample& sample = samples.back(i);
     if (sample.at < from) break;
     if (skip(sample)) continue;
-    // By when it was sent: errors come at once and answers later, so a build that has just begun to take txns
-    // would else show only errors that hit both builds alike.
+    // By when it was sent: errors come at once and answers later, so a new arm shows its errors first.
     long time = sample.sent / same_time;
     const Counts then = beside ? beside->by_time[time] : Counts{};
     bool near = !beside || then.n >= 3;
@@ -460,10 +440,9 @@
   }
 }
 
-// A release may slow all machines, old and new alike; beside the older build it then looks well. Guards
-// against any harm that the trial does to the whole fleet: nearly all of the older build's machines answer
-// much slower than before the offer, though they are no busier with our txns and were not so in stage 0. It
-// errs where other umpires' traffic jumps during a trial and ours does not.
+// Guards against harm that a release does to the whole fleet, which looks well beside the older build: nearly
+// all machines answer much slower than before the offer, though no more arrives and they did not in stage 0.
+// It errs where other umpires' traffic jumps during a trial and ours does not.
 bool Trial::shared_harm(double load, bool compared, Span now) const {
   Arm fleet;
   auto none = [](const Sample&) { return false; };
@@ -495,7 +474,7 @@
   return std::max(1.0, static_cast<double>(std::count_if(by_node.begin(), by_node.end(), tells)));
 }
 
-Finding Trial::condemn(const std::string& why) { return condemned_ = {Verdict::back, true, why}; }
+Finding Trial::condemn(const std::string& why) { return condemned_ = {Verdict::back, why}; }
 
 Finding Trial::judge(const std::vector<Node>& nodes, double trial_per_s, double load, Span now) {
   if (!rel_ || (rel_->phase != RelPhase::trial && !(rel_->phase == RelPhase::released && seen_on_trial_)))
@@ -507,8 +486,7 @@
     tally(before, older_, since(older_, now - shared_window), [](const Sample&) { return false; });
     bool known = before.all.timed >= fleet_enough * (many_votes() ? 0.6 : 1) && load > 0;
     double part = known ? before.all.whole / before.all.timed : 0;
-    if (rel_->stage == 0 && known) usual_load_ = load;
-    if (rel_->stage == 0 && known) usual_part_ = part;
+    if (rel_->stage == 0 && known) usual_load_ = load, usual_part_ = part;
     // Slow before the build had much traffic: something else is going on.
     if (rel_->stage == 1 && usual_part_ && part > *usual_part_ + std::log(shared_before)) usual_part_.reset();
   }
@@ -518,8 +496,7 @@
     slow_from_ = now;
   if (now - slow_from_ >= 2 * shared_window) return condemn(figures("all slower; load", load, usual_load_));
   // A tenant whose txns fail at the older build, as others' do not, tells nothing of the new one: guards
-  // against floods that fail anywhere. They are the first to be kept from full queues, and so gather at a
-  // trial's machines.
+  // against floods that fail anywhere. Kept from full queues first, they gather at a trial's machines.
   Arm lately, old, young;
   tally(lately, older_, now - poorly_memory, [](const Sample&) { return false; });
   std::set<int> left_out;
@@ -534,12 +511,9 @@
   }
   tally(young, fresh_, counted_from_, skip, &old);
 
-  // Trouble of a machine is not the build's: where machines of the older build are poorly too, or the
-  // trial has many, a small part of its machines that are poorly is left out. It hurts where a bad build and
-  // machine trouble meet, until more machines of the build run.
-  auto poorly = [](const Counts& c) {
-    return c.n >= 3 && c.failed + c.lost >= 2 && c.failed + c.lost >= 0.12 * c.n;
-  };
+  // Trouble of a machine is not the build's: where older machines are poorly too, or the trial has many, a
+  // small part of its own that is poorly is left out. It hurts where a bad build and machine trouble meet.
+  auto poorly = [](const Counts& c) { return c.failed + c.lost >= std::max(2.0, 0.12 * c.n); };
   auto poorly_in = [&](const Arm& arm) {
     return std::count_if(arm.by_node.begin(), arm.by_node.end(), [&](auto& c) { return poorly(c.second); });
   };
@@ -555,17 +529,15 @@
 
   // Failures: over the threshold, and more than the older build's rate and chance explain.
   bool doubtful = false;
-  // Each failure is set against the older build's at the same time: troubles that come while the trial's
-  // machines are still few or cold would else look like the build's. Without older machines beside it only a
-  // flood of errors speaks, for overload, cut links and other services lose answers of good builds too.
+  // Each is set against the older build's at the same time. Without older machines beside it only a flood of
+  // errors speaks, for overload, cut links and other services lose answers of good builds too.
   auto failing = [&](const Counts& c, const Counts& base) {
     bool beside = compared && 2 * c.near >= c.n;
     double failed = c.failed + beside * c.lost;
     double usual = std::max(0.01, (base.failed + beside * base.lost + 0.5) / (base.n + 25));
     double luck = tail(failed, std::max(usual * c.n, beside * c.due));
     doubtful |= failed >= 2 && luck < 0.03;
-    // Before the minimum count only failures far beyond chance speak: a build that fails all is soon left
-    // alone by the routing and would never reach it.
+    // Before the minimum only failures far beyond chance: the routing would soon leave such a build alone.
     double chance = c.n >= least_submissions ? level_ : level_ / 10;
     bool many = beside ? failed >= 3 && failed > failure_threshold * c.n
                        : failed >= 8 && failed > flood_threshold * c.n;
@@ -606,9 +578,7 @@
   bool judged = young.all.n >= least_submissions && window;
 
   // Slowness, on warm machines only: the p99 against its ceiling, the SLA time, then the whole distribution
-  // against the older build's, which sees it long before a p99 of a few answers can. Both need machines of
-  // the older build under a like load: while a fleet is swapped in place the rest of it says nothing, nor do
-  // machines left idle.
+  // against the older build's, which sees it long before a p99 of a few answers can.
   if (compared && 2 * old_nodes >= young_nodes && young.all.timed >= least_submissions &&
       old.all.timed >= 2 * least_submissions) {
     double young_p99 = quantile(young.sla_parts, 0.99), old_p99 = quantile(old.sla_parts, 0.99);
@@ -641,9 +611,9 @@
       return condemn(figures("times the older's latency", std::exp(apart), std::exp(error)));
   }
 
-  if (rel_->phase == RelPhase::released) return {Verdict::none, judged, "released"};
+  if (rel_->phase == RelPhase::released) return {Verdict::none, "released"};
   if (settings_.gate != Gate::clock) {
-    if (judged && !doubtful) return {Verdict::on, true, figures("failures", young.all.failed, young.all.n)};
+    if (judged && !doubtful) return {Verdict::on, figures("failures", young.all.failed, young.all.n)};
     return {};
   }
   // An umpire too quiet to reach the minimum soon does not hold the others up.
@@ -653,9 +623,9 @@
   if (near_end && ((lacking > 0 && soon) || doubtful)) {
     if (held_from_ == long_ago) held_from_ = now;
     if (now < held_from_ + (doubtful ? hold_most : hold_few))
-      return {Verdict::hold, false, figures("held at", young.all.n, young.all.failed)};
+      return {Verdict::hold, figures("held at", young.all.n, young.all.failed)};
   }
-  return {Verdict::none, judged, figures("failures", young.all.failed, young.all.n)};
+  return {Verdict::none, figures("failures", young.all.failed, young.all.n)};
 }
 
 // Ballot
@@ -669,8 +639,7 @@
   phase_ = rel.phase;
 }
 
-// A decided umpire draws once per vote life. The draw falls within the time that the allowance needs for one
-// vote of each umpire, not anywhere in the vote's life: a 'back' that waits out half a life does harm.
+// A decided umpire draws once per vote life, within the time that the allowance needs for one vote of each.
 void Ballot::wants(Verdict verdict, Span now, Chance& chance) {
   if (verdict == want_) return;
   want_ = verdict;
@@ -715,8 +684,8 @@
 constexpr int declined_few = 5;                       // of the last hundred txns
 constexpr std::size_t slow_kept = 8;
 constexpr double slow_part = 0.4, over_share_power = 3;
-constexpr double jam_part = 0.75, jam_falls = 1.25, jam_rises = 0.25, open_least = 0.05, least_pace = 16,
-                 open_full = 0.9;
+constexpr double jam_part = 0.75, jam_falls = 1.25, jam_rises = 0.25;  // of the SLA time; a second
+constexpr double open_least = 0.05, open_full = 0.9, least_pace = 8;
 }  // namespace
 
 Txns::Txns(const TxnSettings& settings, Nodes& nodes, Exposure& exposure, Chance& chance)
@@ -740,9 +709,8 @@
 }
 
 // How much is let in follows the umpire's own answers, pooled over nodes: it falls while many come late or
-// are turned away and rises while they don't, as AIMD does. Guards against jams that no single umpire can see
-// at a node, where each brings it a small part of its work. It may shed for a moment when silent nodes
-// swallow txns.
+// are turned away and rises while they don't, as AIMD does. Guards against jams that no umpire can see at a
+// node, of whose work each brings a small part. It may shed for a moment when silent nodes swallow txns.
 void Txns::felt(const Submission& one, Outcome outcome, int product, Span now) {
   const bool full = outcome == Outcome::full, ok = outcome == Outcome::ok;
   const double part = nodes_.sla_part(product, now - one.sent);
@@ -766,6 +734,7 @@
   one.out = false;
   one.never_ran = proves_not_run(outcome);
   one.failed = outcome == Outcome::error;
+  one.unreached = outcome == Outcome::no_connection;
   felt(one, outcome, txn.asked.product, now);
   if (settled && !txn.over) {
     txn.over = true;
@@ -836,8 +805,7 @@
     else if (!nodes_.resting(n, now) && nodes_.well(n, now)) young += nodes[n].size * nodes_.warmth(n, now);
   }
   if (old == 0) return 1;
-  // While txns are declined for want of room, all machines share alike: none can idle beside full ones, and
-  // full ones would look slow beside idle ones.
+  // While txns are declined all machines share alike: full ones would look slow beside idle ones.
   double places = exposure_.in_place() || count(declined_) > declined_few ? all : std::max(old, young);
   double able = std::min(1.0, most_load * young / places);
   return exposure_.on_trial(newest) ? std::min(cap_used * exposure_.cap(newest), able) : able;
@@ -858,13 +826,7 @@
   return true;
 }
 
-bool Txns::may_have_run(const Txn& txn) const {
-  return std::any_of(txn.submissions.begin(), txn.submissions.end(),
-                     [](auto& one) { return !one.never_ran; });
-}
-
-// Shedding by revenue: the less a txn brings, the shorter the queue that it may join; none may join one that
-// would make the txns of greater revenue late.
+// Shedding by revenue: the less a txn brings, the shorter the queue that it may join.
 Span Txns::longest_wait(const Txn& txn, Span now) const {
   const Product& product = settings_.products[txn.asked.product];
   double most = 0;
@@ -879,8 +841,7 @@
   return std::min(from_millis(part * millis(sla)), txn.asked.expiry - now);
 }
 
-// Whether a tenant takes more of our txns than its part of all allowances. Only meant for an overload, when
-// the sum of allowances is used up: below it a tenant may well use more than its part.
+// Whether a tenant takes more of our txns than its part of all allowances: only meant for an overload.
 bool Txns::over_share(int tenant) const {
   if (tenant >= static_cast<int>(settings_.tenants.size())) return false;
   double all = 0, its = 0;
@@ -915,14 +876,15 @@
 
 std::optional<Decision> Txns::submit(int id, Txn& txn, int node, Span now) {
   int build = nodes_.all()[node].build;
-  bool trial = exposure_.on_trial(build);
+  bool trial = exposure_.on_trial(build),
+       unreached = !txn.submissions.empty() && txn.submissions.back().unreached;
   txn.submissions.push_back({.node = node,
                              .build = build,
                              .sent = now,
                              .in_hand = static_cast<int>(nodes_.all()[node].out.size()) + 1});
   nodes_.sent(node, now);
   if (trial) exposure_.sent(txn.asked.product, now);
-  again_.push(txn.submissions.size() > 1);
+  again_.push(txn.submissions.size() > 1 && !unreached);
   if (txn.submissions.size() == 1) declined_.push(false);
   ready_.push_back(id);
   return Decision{.action = Action::submit, .txn = id, .node = node};
@@ -933,7 +895,9 @@
   const Product& product = settings_.products[txn.asked.product];
   bool repeatable = product.effect == Effect::inquiry ||
                     (product.effect == Effect::referenced && product.group == Group::all);
-  bool decline = now < txn.asked.expiry && (repeatable || !may_have_run(txn));
+  bool decline =
+      now < txn.asked.expiry && (repeatable || std::all_of(txn.submissions.begin(), txn.submissions.end(),
+                                                           [](auto& one) { return one.never_ran; }));
   if (txn.submissions.empty()) declined_.push(true);
   txn.over = true;
   forget(id);
@@ -947,38 +911,38 @@
   bool more = static_cast<int>(txn.submissions.size()) < settings_.max_submissions;
   Span left = txn.asked.expiry - now;
   if (out) {
-    // A second copy guards against a silent or slow node; it is paid for as waste, so copies are rationed.
-    if (!settings_.second_copies || product.effect == Effect::once_only || product.stream || !more) return {};
-    if (txn.submissions.size() > 1) return {};
-    Span due = txn.submissions.back().sent +
-               from_millis(std::max(nodes_.usual_ms(txn.asked.product, 0.95), 0.35 * millis(product.sla)));
+    // A second copy guards against a silent or slow node; it is waste, so copies are rationed.
+    if (!settings_.second_copies || product.effect == Effect::once_only || product.stream) return {};
+    if (txn.submissions.size() > 1 || !more) return {};
+    const Submission& one = txn.submissions.back();
+    Span late = from_millis(std::max(nodes_.usual_ms(txn.asked.product, 0.95), 0.35 * millis(product.sla)));
     // A node that goes on answering others works on it: a copy would only do long work twice.
-    Span heard = nodes_.all()[txn.submissions.back().node].heard_at;
-    if (heard > txn.submissions.back().sent)
-      due = std::max(due, heard + (due - txn.submissions.back().sent) / 2);
-    if (now < due) {
-      look(id, txn, due);
-      return {};
-    }
+    Span heard = nodes_.all()[one.node].heard_at;
+    Span due = heard > one.sent ? std::max(one.sent + late, heard + late / 2) : one.sent + late;
+    if (now < due) return look(id, txn, due), std::nullopt;
     if (count(again_) >= copies_most || millis(left) < nodes_.usual_ms(txn.asked.product, 0.5)) return {};
     int node = place(txn, now);
     return node < 0 ? std::nullopt : submit(id, txn, node, now);
   }
   if (left <= 2 * settings_.tick) return finish(id, txn, {}, now);
   // Repeats are rationed: in an overload they would feed it.
-  bool worth_it = txn.submissions.empty() || (count(again_) < again_most * open_ &&
-                                              millis(left) > 0.5 * nodes_.usual_ms(txn.asked.product, 0.5));
-  if (txn.submissions.empty() && txn.look_at == Span{} && shedding()) {
-    double mean = 0;
-    for (const Product& other : settings_.products) mean += other.revenue / settings_.products.size();
-    double power =
-        mean / std::max(0.1, product.revenue) * (over_share(txn.asked.tenant) ? over_share_power : 1);
-    if (draw(chance_) > std::pow(open_, power)) return finish(id, txn, settings_.max_pause, now);
-  }
-  if (!more || !worth_it) return finish(id, txn, settings_.max_pause, now);
-  int node = place(txn, now);
-  if (node >= 0) return submit(id, txn, node, now);
-  return finish(id, txn, settings_.max_pause, now);
+  bool worth_it = txn.submissions.empty()
+                      ? let_in(txn.asked, now)
+                      : (txn.submissions.back().unreached || count(again_) < again_most * open_) &&
+                            millis(left) > 0.5 * nodes_.usual_ms(txn.asked.product, 0.5);
+  int node = more && worth_it ? place(txn, now) : -1;
+  return node >= 0 ? submit(id, txn, node, now) : finish(id, txn, settings_.max_pause, now);
+}
+
+// While the umpire sheds: by revenue; what is beyond a tenant's share or whose client will hardly wait last.
+bool Txns::let_in(const Arrival& asked, Span now) {
+  if (!shedding()) return true;
+  double mean = 0;
+  for (const Product& each : settings_.products) mean += each.revenue / settings_.products.size();
+  double power = mean / std::max(0.1, settings_.products[asked.product].revenue);
+  bool hasty = millis(asked.expiry - now) < nodes_.usual_ms(asked.product, 0.9);
+  return draw(chance_) <=
+         std::pow(open_, hasty || over_share(asked.tenant) ? power * over_share_power : power);
 }
 
 // Umpire
@@ -1014,9 +978,8 @@
   nodes_.ended(one, tells, asked, now);
   nodes_.report(one.node, load, now);
   const Node& node = nodes_.all()[one.node];
-  // A machine that stops answering swallows many submissions; they count as one failure of the build.
-  // A cold machine's late answers tell nothing, nor do those that come while all is late, nor do answers lost
-  // on the way to another zone.
+  // What a machine swallows once it stops answering counts as one failure of the build. Late answers of cold
+  // machines, of a time when all is late, or on the way to another zone tell nothing.
   bool warm = nodes_.warmth(one.node, one.sent) >= 1;
   bool counts = tells == Outcome::ok || tells == Outcome::error ||
                 (lost(outcome) && node.dead_run <= 1 && warm && nodes_.near(one.node) && !txns_.shedding());
@@ -1043,7 +1006,7 @@
 std::optional<Decision> Umpire::next(Span now) {
   if (now >= judged_at_ + judge_every) {
     judged_at_ = now;
-    double trial_per_s = exposure_.taken_per_s(now) * txns_.trial_share(now);
+    double trial_per_s = pace_of(firsts_, now) * txns_.trial_share(now);
     Finding found =
         trial_.judge(nodes_.all(), trial_per_s, pace_of(firsts_, now) / std::max(0.1, nodes_.able(now)), now);
     ballot_.wants(found.verdict, now, chance_);
--- a/src/logic.h
+++ b/src/logic.h
@@ -56,6 +56,7 @@
   std::vector<int> rings_[2][2]{};  // open nodes by order: of the newest build or not, near or not
   Samples<Span> sent_;
   Samples<char> refused_;
+  bool squeezed_ = false;  // connections are refused right and left
   bool asked_ = false;
   Span ask_at_{}, ask_pause_{};
 };
@@ -71,7 +72,6 @@
   bool on_trial(int build) const;
   double cap(int build) const;
   bool allows(const Arrival& txn, int build, Effect effect, Span now);
-  double taken_per_s(Span now);
   bool in_place() const { return settings_.in_place; }
 
  private:
@@ -175,8 +175,8 @@
   void felt(const Submission& one, Outcome outcome, int product, Span now);
   Span longest_wait(const Txn& txn, Span now) const;
   bool over_share(int tenant) const;
+  bool let_in(const Arrival& asked, Span now);
   bool may_go(const Txn& txn, int node, Span now) const;
-  bool may_have_run(const Txn& txn) const;
   void look(int id, Txn& txn, Span at);
   void forget(int id);
 
--- a/src/state.h
+++ b/src/state.h
@@ -148,7 +148,7 @@
   int node, build;
   Span sent;
   int in_hand;
-  bool out = true, never_ran = false, failed = false;
+  bool out = true, never_ran = false, failed = false, unreached = false;
 };
 
 struct Txn {
@@ -169,7 +169,6 @@
 // What is known of the release now offered, as judged from one arm's view.
 struct Finding {
   Verdict verdict = Verdict::none;
-  bool judged = false;
   std::string why{};
 };
 
