--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -287,8 +287,7 @@
         continue;
       }
       ++used, ++usable;
-      if (wait(n, now) > longest) ++busy;
-      else found[close].push_back(n);
+      if (wait(n, now) <= longest) found[close].push_back(n);
     }
   }
   if (poorly.size() > 2 * usable) return better_of_two(poorly, now, chance);
@@ -685,7 +684,7 @@
 constexpr std::size_t slow_kept = 8;
 constexpr double slow_part = 0.4, over_share_power = 3;
 constexpr double jam_part = 0.75, jam_falls = 1.25, jam_rises = 0.25;  // of the SLA time; a second
-constexpr double open_least = 0.05, open_full = 0.9, least_pace = 8;
+constexpr double open_least = 0.05, open_full = 0.8, least_pace = 8;
 }  // namespace
 
 Txns::Txns(const TxnSettings& settings, Nodes& nodes, Exposure& exposure, Chance& chance)
