--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -177,7 +177,7 @@
 bool Nodes::resting(int n, Span now) const {
   const Node& node = nodes_[n];
   if (node.dead_run < 2) return false;
-  Span rest = first_bench * (1 << std::min(node.dead_run - 2, squeezed_ ? 5 : 3));
+  Span rest = first_bench * (1 << std::min(node.dead_run - 2, 3));
   return now < node.dead_at + rest || !node.out.empty();
 }
 
@@ -684,7 +684,7 @@
 constexpr std::size_t slow_kept = 8;
 constexpr double slow_part = 0.4, over_share_power = 3;
 constexpr double jam_part = 0.75, jam_falls = 1.25, jam_rises = 0.25;  // of the SLA time; a second
-constexpr double open_least = 0.05, open_full = 0.8, least_pace = 8;
+constexpr double open_least = 0.05, open_full = 0.9, least_pace = 16;
 }  // namespace
 
 Txns::Txns(const TxnSettings& settings, Nodes& nodes, Exposure& exposure, Chance& chance)
