After a release errors must come from many machines; then a lower rate speaks for many votes

It also holds against dead or broken machines of any kind after a release, and would miss a build that fails on a few machines only.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -365,7 +365,8 @@
 constexpr double most_compared = 0.9;  // of the cap: beyond, the older machines are idle or on their way out
 constexpr Span same_time = 2s;         // outcomes of both builds are compared in spans of this
 constexpr Span least_window = 4s;      // from the latest start in the stage
-constexpr double failure_threshold = 0.03, flood_threshold = 0.2;  // beside older machines, and without
+constexpr double failure_threshold = 0.03, flood_threshold = 0.2,
+                 flood_least = 8;                           // beside older ones, and without
 constexpr double beyond_chance = 0.001, level_most = 0.03;  // of failures: for one vote, and at most for many
 constexpr double machine_spread = 0.22;  // of the logarithm of a machine's latency, load included
 // How much slower the whole fleet must be, for twice so long, at what load, and than what it may be before.
@@ -512,7 +513,7 @@
 
   // Trouble of a machine is not the build's: where older machines are poorly too, or the trial has many, a
   // small part of its own that is poorly is left out. It hurts where a bad build and machine trouble meet.
-  auto poorly = [](const Counts& c) { return c.failed + c.lost >= std::max(2.0, 0.12 * c.n); };
+  auto poorly = [](const Counts& c) { return c.n >= 3 && c.failed + c.lost >= std::max(2.0, 0.12 * c.n); };
   auto poorly_in = [&](const Arm& arm) {
     return std::count_if(arm.by_node.begin(), arm.by_node.end(), [&](auto& c) { return poorly(c.second); });
   };
@@ -529,7 +530,11 @@
   // Failures: over the threshold, and more than the older build's rate and chance explain.
   bool doubtful = false;
   // Each is set against the older build's at the same time. Without older machines beside it only a flood of
-  // errors speaks, for overload, cut links and other services lose answers of good builds too.
+  // errors speaks, on many machines: a few fail by themselves, and overload and cut links lose answers too.
+  const double flood = many_votes() ? flood_threshold / 2 : flood_threshold;
+  const bool wide = 10 * std::count_if(young.by_node.begin(), young.by_node.end(),
+                                       [](auto& c) { return c.second.failed > 0; }) >
+                    3 * static_cast<long>(young.by_node.size());
   auto failing = [&](const Counts& c, const Counts& base) {
     bool beside = compared && 2 * c.near >= c.n;
     double failed = c.failed + beside * c.lost;
@@ -539,7 +544,7 @@
     // Before the minimum only failures far beyond chance: the routing would soon leave such a build alone.
     double chance = c.n >= least_submissions ? level_ : level_ / 10;
     bool many = beside ? failed >= 3 && failed > failure_threshold * c.n
-                       : failed >= 8 && failed > flood_threshold * c.n;
+                       : wide && failed >= flood_least && failed > flood * c.n;
     return many && luck < chance;
   };
   if (failing(young.all, old.all))
