--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -564,7 +564,7 @@
   double luck = tail(wrong, given * (old_wrong + 1) / (old_given + 250));
   doubtful |= wrong >= 1 && luck < 0.1;
   bool many = wrong > 0.5 * failure_threshold * settings_.flag_share * given;
-  if (wrong >= (many_votes() ? 1 : 3) && many && luck < std::max(0.002, level_))
+  if (wrong >= (many_votes() ? 1 : 3) && many && luck < std::max(0.002, many_votes() ? 3 * level_ : 0))
     return condemn(figures("wrong answers", wrong, given));
 
   Span latest = stage_at_;
@@ -688,7 +688,7 @@
 constexpr std::size_t slow_kept = 8;
 constexpr double slow_part = 0.4, over_share_power = 3;
 constexpr double jam_part = 0.75, jam_falls = 1.25, jam_rises = 0.25;  // of the SLA time; a second
-constexpr double open_least = 0.05, open_full = 0.9, least_pace = 16;
+constexpr double open_least = 0.05, open_full = 0.9, least_pace = 30;
 }  // namespace
 
 Txns::Txns(const TxnSettings& settings, Nodes& nodes, Exposure& exposure, Chance& chance)
