--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -15,13 +15,10 @@
 constexpr std::size_t results_kept = 16, took_kept = 64, sent_kept = 40;
 constexpr Span result_life = 5s;     // health goes by results no older than this
 constexpr Span first_bench = 500ms;  // a node that lost two in a row rests so long, then doubling
-constexpr Span report_life = 1s;     // a load report older than this tells nothing
-constexpr Span failing_rest = 2s;    // a failing node is tried again after so long without a failure
-constexpr Span full_rest = 100ms;    // a node that turned work away, doubling while it does
-constexpr double cold_margin = 0.6;  // part of what the cold rule allows that is used
-constexpr double cold_least = 8;     // txns a window that all umpires together may send any cold node
-constexpr Span thin_life = 1s;       // one answer alone tells of a node's queue for so long
-constexpr double reach_pace = 2;     // submissions a second that an umpire's node should get from it,
+constexpr Span failing_rest = 2s, full_rest = 100ms;  // after a failure; after work turned away, doubling
+constexpr double cold_margin = 0.6, cold_least = 8;   // part of what may be sent; txns a window of all
+constexpr Span report_life = 1s, thin_life = 1s;      // how long a load report tells, and one answer alone
+constexpr double reach_pace = 2;  // submissions a second that an umpire's node should get from it,
 constexpr std::size_t reach_least = 4, reach_refused = 2;  // but so many nodes at least, or so few
 constexpr double refused_part = 0.15;                      // when this part of all connections is refused
 constexpr Span ask_pause_least = 400ms, ask_pause_most = 3s;
@@ -282,13 +279,12 @@
     for (std::size_t i = 0; i < ring.size() && used < most; ++i) {
       int n = ring[(start + i) % ring.size()];
       if (!may(n) || !has_room(n, now) || resting(n, now)) continue;
-      if (!well(n, now) || (careful && nodes_[n].dead_run > 0)) {
-        poorly.push_back(n);
-        continue;
-      }
-      ++used, ++usable;
-      if (wait(n, now) <= longest) found[close].push_back(n);
+      const bool sound = well(n, now) && !(careful && nodes_[n].dead_run > 0);
+      used += sound;
+      if (!sound) poorly.push_back(n);
+      else if (wait(n, now) <= longest) found[close].push_back(n);
     }
+    usable += used;
   }
   if (poorly.size() > 2 * usable) return better_of_two(poorly, now, chance);
   int a = better_of_two(found[1], now, chance), b = better_of_two(found[0], now, chance);
@@ -333,8 +329,7 @@
 }
 
 bool Exposure::on_trial(int build) const {
-  if (!rel_) return false;
-  return build > rel_->build || (build == rel_->build && rel_->phase != RelPhase::released);
+  return rel_ && (build > rel_->build || (build == rel_->build && rel_->phase != RelPhase::released));
 }
 
 // A build that no news has named counts as in the first stage; one on its way back takes nothing.
@@ -411,8 +406,8 @@
 
 // Whether the build is the one being judged: on trial, or released under our eyes and still to be sent back.
 bool Trial::watched(int build) const {
-  if (!rel_ || build < rel_->build) return false;
-  return build > rel_->build || rel_->phase != RelPhase::released || seen_on_trial_;
+  return rel_ && build >= rel_->build &&
+         (build > rel_->build || rel_->phase != RelPhase::released || seen_on_trial_);
 }
 
 void Trial::noted(int build, const Sample& sample) { (watched(build) ? fresh_ : older_).push(sample); }
@@ -530,7 +525,6 @@
   bool doubtful = false;
   // Each is set against the older build's at the same time. Without older machines beside it only a flood of
   // errors speaks, on many machines: a few fail by themselves, and overload and cut links lose answers too.
-  const double flood = many_votes() ? flood_threshold / 2 : flood_threshold;
   const bool wide = 10 * std::count_if(young.by_node.begin(), young.by_node.end(),
                                        [](auto& c) { return c.second.failed > 0; }) >
                     3 * static_cast<long>(young.by_node.size());
@@ -542,8 +536,9 @@
     doubtful |= failed >= 2 && luck < 0.03;
     // Before the minimum only failures far beyond chance: the routing would soon leave such a build alone.
     double chance = c.n >= least_submissions ? level_ : level_ / 10;
-    bool many = beside ? failed >= 3 && failed > failure_threshold * c.n
-                       : wide && failed >= flood_least && failed > flood * c.n;
+    bool many =
+        beside ? failed >= 3 && failed > failure_threshold * c.n
+               : wide && failed >= flood_least && failed > flood_threshold / (many_votes() ? 2 : 1) * c.n;
     return many && luck < chance;
   };
   if (failing(young.all, old.all))
@@ -564,7 +559,7 @@
   double luck = tail(wrong, given * (old_wrong + 1) / (old_given + 250));
   doubtful |= wrong >= 1 && luck < 0.1;
   bool many = wrong > 0.5 * failure_threshold * settings_.flag_share * given;
-  if (wrong >= (many_votes() ? 1 : 3) && many && luck < std::max(0.002, many_votes() ? 3 * level_ : 0))
+  if (wrong >= (many_votes() ? 1 : 3) && many && luck < std::max(0.002, level_))
     return condemn(figures("wrong answers", wrong, given));
 
   Span latest = stage_at_;
@@ -680,15 +675,13 @@
 namespace {
 constexpr double cap_used = 0.9;   // part of the cap that first attempts fill
 constexpr double most_load = 1.0;  // a trial machine's load against a usual machine's
-constexpr std::size_t again_kept = 100, tenants_kept = 200;
+constexpr std::size_t again_kept = 100, tenants_kept = 200, slow_kept = 8;
 constexpr double share_slack = 1.1;
 constexpr int copies_most = 8, again_most = 20;  // of the last hundred submissions, so many may be repeats
 constexpr double wait_least = 0.45, wait_more = 0.3;  // of the SLA time, by the txn's revenue
 constexpr int declined_few = 5;                       // of the last hundred txns
-constexpr std::size_t slow_kept = 8;
-constexpr double slow_part = 0.4, over_share_power = 3;
-constexpr double jam_part = 0.75, jam_falls = 1.25, jam_rises = 0.25;  // of the SLA time; a second
-constexpr double open_least = 0.05, open_full = 0.9, least_pace = 30;
+constexpr double slow_part = 0.4, over_share_power = 3, open_least = 0.05, open_full = 0.9;
+constexpr double jam_part = 0.75, jam_falls = 1.25, jam_rises = 0.25, least_pace = 16;
 }  // namespace
 
 Txns::Txns(const TxnSettings& settings, Nodes& nodes, Exposure& exposure, Chance& chance)
@@ -774,8 +767,8 @@
     auto [id, submission] = cancels_.front();
     cancels_.pop_front();
     const Txn* txn = find(id);  // it may have come back in the meantime
-    if (!txn || !txn->submissions[submission].out) continue;
-    return Decision{.action = Action::cancel, .txn = id, .submission = submission};
+    if (txn && txn->submissions[submission].out)
+      return Decision{.action = Action::cancel, .txn = id, .submission = submission};
   }
   while (!looks_.empty() && looks_.top().first <= now) {
     int id = looks_.top().second;
--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -99,7 +99,8 @@
           note("sent " + node_name(d->node));
           note("sent build " + std::to_string(builds[d->node]));
           Reply* reply = nullptr;
-          for (const std::string& key : {node_name(d->node), "build" + std::to_string(builds[d->node])})
+          for (const std::string& key : {"tenant" + std::to_string(tenant_of[d->txn]), node_name(d->node),
+                                         "build" + std::to_string(builds[d->node])})
             if (!reply && replies.count(key)) reply = &replies[key];
           if (!reply || reply->never) break;
           bool as_said = ++reply->seen % reply->every == 0;
@@ -174,7 +175,8 @@
     else if (key == "in_place") exposure.in_place = true;
     else if (key == "safe_only_stages") exposure.safe_only_stages = static_cast<int>(v);
     else if (key == "no_copies") txns.second_copies = false;
-    else if (key == "umpires") gate.umpires = txns.umpires = static_cast<int>(v);
+    else if (key == "umpires") gate.umpires = txns.umpires = nodes.umpires = static_cast<int>(v);
+    else if (key == "to_revert") gate.to_revert = static_cast<int>(v);
     else if (key == "step") gate.step = ms(v);
     else if (key == "gate")
       gate.gate =
@@ -202,6 +204,11 @@
     }
     if (!umpire) umpire = std::make_unique<Umpire>(salt, nodes, exposure, gate, txns);
     if (w[0] == "node") {  // node NAME BUILD in|lame|out [started seconds ago] [zone] [cell]
+      if (auto comma = w[1].find(','); comma != std::string::npos) {
+        for (Words part = w; const std::string& name : {w[1].substr(0, comma), w[1].substr(comma + 1)})
+          part[1] = name, command(part);
+        return;
+      }
       auto [at, fresh] = names.try_emplace(w[1], static_cast<int>(builds.size()));
       if (fresh) builds.push_back(0);
       builds[at->second] = static_cast<int>(num(2));
