--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -637,11 +637,15 @@
   phase_ = rel.phase;
 }
 
-// A decided umpire draws once per vote life, within the time that the allowance needs for one vote of each.
+// A decided umpire draws once per vote life, within the time that the allowance needs for twice the votes
+// that must stand; a vote no longer wanted is taken away at once: a hold that stands on for seconds holds up
+// all.
 void Ballot::wants(Verdict verdict, Span now, Chance& chance) {
   if (verdict == want_) return;
   want_ = verdict;
-  draw_at_ = now + from_millis(1e3 * draw(chance) * settings_.umpires / std::max(1.0, settings_.calls_per_s));
+  const int needed[] = {0, settings_.to_advance, settings_.to_hold, settings_.to_revert};
+  const int voters = std::min(settings_.umpires, 2 * needed[static_cast<int>(verdict)]);
+  draw_at_ = now + from_millis(1e3 * draw(chance) * voters / std::max(1.0, settings_.calls_per_s));
 }
 
 void Ballot::answered(Outcome outcome, Span now) {
