--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -394,6 +394,7 @@
     stage_at_ = now - rel.since;
     look_at_fleet_ = true;
     held_from_ = long_ago;
+    if (many_votes()) condemned_ = {};  // false alarms of many umpires would add up over the stages
     // What is too little to judge a stage by is carried into the next: else quiet umpires never see enough.
     bool next = rel_ && rel_->build == rel.build && rel.phase == RelPhase::trial;
     if (!next || !many_votes() || fresh_.size() >= least_submissions) {
