--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -138,9 +138,7 @@
 
 double Nodes::sla_part(int product, Span took) const { return millis(took) / millis(products_[product].sla); }
 void Nodes::report(int n, const Load& load, Span now) {
-  if (!load.held && !load.busy) return;
-  nodes_[n].load = load;
-  nodes_[n].load_at = now;
+  if (load.held || load.busy) nodes_[n].load = load, nodes_[n].load_at = now;
 }
 
 // The longest that an answer may keep us waiting before its node is taken to be silent.
@@ -262,8 +260,6 @@
                   static_cast<std::size_t>(std::ceil(pace(now) / reach_pace / (squeezed_ ? 5 : 1))));
 }
 
-double Nodes::pace(Span now) const { return pace_of(sent_, now); }
-
 // Two random choices among the well nodes of the umpire's own stretch of the ring, in the own zone, or abroad
 // where that is clearly better. All umpires see the nodes in the same order and begin at points spread
 // evenly (golden section), so that the stretches load all nodes alike; what rests is stepped over.
@@ -638,9 +634,7 @@
   phase_ = rel.phase;
 }
 
-// A decided umpire draws once per vote life, within the time that the allowance needs for twice the votes
-// that must stand; a vote no longer wanted is taken away at once: a hold that stands on for seconds holds up
-// all.
+// A decided umpire draws once per vote life, in the time of twice the votes needed; a hold ends at once.
 void Ballot::wants(Verdict verdict, Span now, Chance& chance) {
   if (verdict == want_) return;
   want_ = verdict;
@@ -1007,9 +1001,8 @@
 std::optional<Decision> Umpire::next(Span now) {
   if (now >= judged_at_ + judge_every) {
     judged_at_ = now;
-    double trial_per_s = pace_of(firsts_, now) * txns_.trial_share(now);
-    Finding found =
-        trial_.judge(nodes_.all(), trial_per_s, pace_of(firsts_, now) / std::max(0.1, nodes_.able(now)), now);
+    const double pace = pace_of(firsts_, now), load = pace / std::max(0.1, nodes_.able(now));
+    Finding found = trial_.judge(nodes_.all(), pace * txns_.trial_share(now), load, now);
     ballot_.wants(found.verdict, now, chance_);
     std::string mode = mode_text(found.verdict, trial_.rel());
     if (mode != mode_) log_.push_back(mode + (found.why.empty() ? "" : ": " + found.why));
--- a/src/logic.h
+++ b/src/logic.h
@@ -36,7 +36,7 @@
   double able(Span now) const;
   double cost(int node, Span now);
   Span wait(int node, Span now);
-  double pace(Span now) const;
+  double pace(Span now) const { return pace_of(sent_, now); }
   int choose(bool young, const std::function<bool(int)>& may, bool careful, Span longest, Span now,
              Chance& chance);
   std::optional<Decision> next(Span now, Chance& chance);
