--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -456,7 +456,7 @@
 
 // From when on the fleet is looked at: a short while, or longer where answers are few.
 Span Trial::since(const Samples<Sample>& of, Span now) const {
-  Span enough = !many_votes() ? now : of.size() < fleet_enough ? long_ago : of.back(fleet_enough - 1).at;
+  Span enough = of.size() < fleet_enough ? long_ago : of.back(fleet_enough - 1).at;
   return std::clamp(enough, now - fleet_most, now - shared_window);
 }
 
@@ -482,9 +482,7 @@
     if (rel_->stage == 1 && usual_part_ && part > *usual_part_ + std::log(shared_before)) usual_part_.reset();
   }
   look_at_fleet_ = false;
-  if (fresh_.size() < least_submissions / 2 || !(compared || many_votes()) ||
-      !shared_harm(load, compared, now))
-    slow_from_ = now;
+  if (fresh_.size() < least_submissions / 2 || !shared_harm(load, compared, now)) slow_from_ = now;
   if (now - slow_from_ >= 2 * shared_window) return condemn(figures("all slower; load", load, usual_load_));
   // A tenant whose txns fail at the older build, as others' do not, tells nothing of the new one: guards
   // against floods that fail anywhere. Kept from full queues first, they gather at a trial's machines.
