--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -456,7 +456,7 @@
 
 // From when on the fleet is looked at: a short while, or longer where answers are few.
 Span Trial::since(const Samples<Sample>& of, Span now) const {
-  Span enough = of.size() < fleet_enough ? long_ago : of.back(fleet_enough - 1).at;
+  Span enough = !many_votes() ? now : of.size() < fleet_enough ? long_ago : of.back(fleet_enough - 1).at;
   return std::clamp(enough, now - fleet_most, now - shared_window);
 }
 
@@ -482,7 +482,9 @@
     if (rel_->stage == 1 && usual_part_ && part > *usual_part_ + std::log(shared_before)) usual_part_.reset();
   }
   look_at_fleet_ = false;
-  if (fresh_.size() < least_submissions / 2 || !shared_harm(load, compared, now)) slow_from_ = now;
+  if (fresh_.size() < least_submissions / 2 || !(compared || many_votes()) ||
+      !shared_harm(load, compared, now))
+    slow_from_ = now;
   if (now - slow_from_ >= 2 * shared_window) return condemn(figures("all slower; load", load, usual_load_));
   // A tenant whose txns fail at the older build, as others' do not, tells nothing of the new one: guards
   // against floods that fail anywhere. Kept from full queues first, they gather at a trial's machines.
@@ -972,10 +974,10 @@
   nodes_.report(one.node, load, now);
   const Node& node = nodes_.all()[one.node];
   // What a machine swallows once it stops answering counts as one failure of the build. Late answers of cold
-  // machines, of a time when all is late, or on the way to another zone tell nothing.
+  // machines, or on the way to another zone, tell nothing.
   bool warm = nodes_.warmth(one.node, one.sent) >= 1;
   bool counts = tells == Outcome::ok || tells == Outcome::error ||
-                (lost(outcome) && node.dead_run <= 1 && warm && nodes_.near(one.node) && !txns_.shedding());
+                (lost(outcome) && node.dead_run <= 1 && warm && nodes_.near(one.node));
   if (counts && node.build == one.build) {
     trial_.noted(one.build, {now, one.sent, one.node, asked.product, asked.tenant, outcome == Outcome::error,
                              lost(outcome), warm, nodes_.ratio(asked.product, took, asked.hint_ms),
