Tidy after the read: dead state out, one wrong comment, repeated expressions once

The time a txn was taken, report names and zones were kept and never used; the comment on Result::timed said more than the code does; the mean SLA part, how many answers suffice and 'leave out nobody' stood two or three times.

--- a/src/benchlink/wire.h
+++ b/src/benchlink/wire.h
@@ -24,10 +24,10 @@
 // One instance, with the words that stand for its indices.
 struct Instance {
   std::unique_ptr<Umpire> umpire;
-  std::vector<std::string> node_names, report_names;
+  std::vector<std::string> node_names;
   std::unordered_map<std::string, int> nodes, txns;
   std::unordered_map<int, std::string> txn_names;
-  int next_txn = 0, products = 0, tenants = 0, zones = 0;
+  int next_txn = 0, products = 0, tenants = 0;
   bool touched = false;
 };
 
--- a/src/figures.h
+++ b/src/figures.h
@@ -55,6 +55,7 @@
     whole += std::log(std::clamp(sla_part, 0.001, 10.0));
   }
   double mean() const { return sum / timed; }
+  double mean_sla_part() const { return whole / timed; }
   double doubt() const { return std::max(0.0, squares / timed - mean() * mean()) / timed; }
 };
 
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -366,6 +366,7 @@
 constexpr Span clock_lag = 500ms;    // a step is near its end so long after latest start and step time
 constexpr Span poorly_memory = 10s;  // machines of the older build that were poorly so lately
 constexpr Span hold_few = 1s, hold_most = 4s;  // the longest hold, for few figures and for doubtful ones
+bool nobody(const Sample&) { return false; }
 }  // namespace
 
 Trial::Trial(const GateSettings& settings, int products)
@@ -436,11 +437,9 @@
 // It errs where other umpires' traffic jumps during a trial and ours does not.
 bool Trial::shared_harm(double load, bool compared, Span now) const {
   Arm fleet;
-  auto none = [](const Sample&) { return false; };
-  tally(fleet, older_, since(older_, now), none);
-  if (!compared) tally(fleet, fresh_, since(fresh_, now), none);
-  if (!usual_part_ || rel_->stage == 0 || fleet.all.timed < fleet_enough * (many_votes() ? 0.6 : 1))
-    return false;
+  tally(fleet, older_, since(older_, now), nobody);
+  if (!compared) tally(fleet, fresh_, since(fresh_, now), nobody);
+  if (!usual_part_ || rel_->stage == 0 || fleet.all.timed < answers_enough()) return false;
   double more = std::max(1.0, load / usual_load_);
   if (more > shared_load) return false;
   // Queues grow faster than the load: so much more is asked of the slowness.
@@ -449,9 +448,9 @@
   for (auto& [node, counts] : fleet.by_node) {
     if (counts.timed < 2) continue;
     ++seen;
-    slow += counts.whole / counts.timed > *usual_part_ + slower / 2;
+    slow += counts.mean_sla_part() > *usual_part_ + slower / 2;
   }
-  return fleet.all.whole / fleet.all.timed > *usual_part_ + slower && 5 * slow >= 4 * seen;
+  return fleet.all.mean_sla_part() > *usual_part_ + slower && 5 * slow >= 4 * seen;
 }
 
 // From when on the fleet is looked at: a short while, or longer where answers are few.
@@ -465,6 +464,8 @@
   return std::max(1.0, static_cast<double>(std::count_if(by_node.begin(), by_node.end(), tells)));
 }
 
+double Trial::answers_enough() const { return fleet_enough * (many_votes() ? 0.6 : 1); }
+
 Finding Trial::condemn(const std::string& why) { return condemned_ = {Verdict::back, why}; }
 
 Finding Trial::judge(const std::vector<Node>& nodes, double trial_per_s, double load, Span now) {
@@ -474,9 +475,9 @@
   const bool compared = rel_->phase == RelPhase::trial && rel_->cap < most_compared;
   if (look_at_fleet_ && rel_->phase == RelPhase::trial && rel_->stage <= 1) {
     Arm before;
-    tally(before, older_, since(older_, now - shared_window), [](const Sample&) { return false; });
-    bool known = before.all.timed >= fleet_enough * (many_votes() ? 0.6 : 1) && load > 0;
-    double part = known ? before.all.whole / before.all.timed : 0;
+    tally(before, older_, since(older_, now - shared_window), nobody);
+    bool known = before.all.timed >= answers_enough() && load > 0;
+    double part = known ? before.all.mean_sla_part() : 0;
     if (rel_->stage == 0 && known) usual_load_ = load, usual_part_ = part;
     // Slow before the build had much traffic: something else is going on.
     if (rel_->stage == 1 && usual_part_ && part > *usual_part_ + std::log(shared_before)) usual_part_.reset();
@@ -489,7 +490,7 @@
   // A tenant whose txns fail at the older build, as others' do not, tells nothing of the new one: guards
   // against floods that fail anywhere. Kept from full queues first, they gather at a trial's machines.
   Arm lately, old, young;
-  tally(lately, older_, now - poorly_memory, [](const Sample&) { return false; });
+  tally(lately, older_, now - poorly_memory, nobody);
   std::set<int> left_out;
   for (auto& [tenant, c] : lately.by_tenant)
     if (c.failed >= 3 && c.failed * (lately.all.n - c.n + 10) > 3 * (lately.all.failed - c.failed + 1) * c.n)
@@ -687,9 +688,9 @@
     : settings_(settings), nodes_(nodes), exposure_(exposure), chance_(chance), again_(again_kept),
       declined_(again_kept), tenants_(tenants_kept), slow_(slow_kept) {}
 
-void Txns::arrived(const Arrival& asked, Span now) {
+void Txns::arrived(const Arrival& asked) {
   tenants_.push(asked.tenant);
-  txns_[asked.txn] = Txn{.asked = asked, .taken = now};
+  txns_[asked.txn] = Txn{.asked = asked};
   ready_.push_back(asked.txn);
 }
 
@@ -956,7 +957,7 @@
 void Umpire::txn_arrived(const Arrival& txn, Span now) {
   exposure_.taken(txn.product, now);
   if (!txn.repeat) firsts_.push(now);
-  txns_.arrived(txn, now);
+  txns_.arrived(txn);
 }
 
 void Umpire::submission_ended(int id, int index, Outcome outcome, bool settled, const Load& load, Span now) {
--- a/src/logic.h
+++ b/src/logic.h
@@ -110,6 +110,7 @@
     std::vector<double> sla_parts{};
     double machines(double least) const;  // warm ones that gave so many answers
   };
+  double answers_enough() const;  // of the fleet, to judge it by
   bool many_votes() const { return settings_.to_revert > 1; }
   Finding condemn(const std::string& why);
   bool shared_harm(double load, bool compared, Span now) const;
@@ -154,7 +155,7 @@
 class Txns {
  public:
   Txns(const TxnSettings& settings, Nodes& nodes, Exposure& exposure, Chance& chance);
-  void arrived(const Arrival& txn, Span now);
+  void arrived(const Arrival& txn);
   void streaming(int txn);
   void ended(int txn, int submission, Outcome outcome, bool settled, Span now);
   void left(int txn);
--- a/src/state.h
+++ b/src/state.h
@@ -126,7 +126,7 @@
   double ratio;  // latency over the product's usual one
   Span took;
   int in_hand;  // own txns that the node held when this one was sent, itself included
-  bool timed;   // not a quick error, nor a client that left early
+  bool timed;   // not an error: those may come at once
 };
 
 struct Node : NodeNews {
@@ -153,7 +153,7 @@
 
 struct Txn {
   Arrival asked;
-  Span taken, look_at{};
+  Span look_at{};
   std::vector<Submission> submissions{};
   bool over = false, streaming = false;
 };
