--- a/src/benchlink/wire.cpp
+++ b/src/benchlink/wire.cpp
@@ -1,66 +1,9 @@
 #include "benchlink/wire.h"
 
-#include <cmath>
-#include <limits>
-
 namespace robinhoist::benchlink {
 namespace {
 
-const Json& member(const Json& object, const char* field) {
-  auto at = object.FindMember(field);
-  if (at == object.MemberEnd()) throw BadInput(std::string("missing field ") + field);
-  return at->value;
-}
-
-[[noreturn]] void mistyped(const char* field, const char* wanted) {
-  throw BadInput(std::string("field ") + field + " is not " + wanted);
-}
-
-double number(const Json& object, const char* field) {
-  const Json& value = member(object, field);
-  if (!value.IsNumber()) mistyped(field, "a number");
-  return value.GetDouble();
-}
-
-// Null or absent reads as `absent`.
-double number_or(const Json& object, const char* field, double absent) {
-  auto at = object.FindMember(field);
-  if (at == object.MemberEnd() || at->value.IsNull()) return absent;
-  return number(object, field);
-}
-
-int whole(const Json& object, const char* field, int least = 0, int most = std::numeric_limits<int>::max()) {
-  double value = number(object, field);
-  if (value != std::floor(value) || value < least || value > most) mistyped(field, "a whole number in range");
-  return static_cast<int>(value);
-}
-
-bool truth(const Json& object, const char* field) {
-  const Json& value = member(object, field);
-  if (!value.IsBool()) mistyped(field, "true or false");
-  return value.GetBool();
-}
-
-std::string text(const Json& object, const char* field) {
-  const Json& value = member(object, field);
-  if (!value.IsString()) mistyped(field, "a string");
-  return {value.GetString(), value.GetStringLength()};
-}
-
-const Json& inner(const Json& object, const char* field) {
-  const Json& value = member(object, field);
-  if (!value.IsObject()) mistyped(field, "an object");
-  return value;
-}
-
-const Json& array(const Json& object, const char* field) {
-  const Json& value = member(object, field);
-  if (!value.IsArray()) mistyped(field, "an array");
-  return value;
-}
-
-Span span(double ms) { return Span(std::llround(ms * 1e3)); }
-Span time_of(const Json& object, const char* field) { return span(number(object, field)); }
+using namespace json;
 
 double positive(const Json& object, const char* field) {
   double value = number(object, field);
@@ -74,14 +17,6 @@
   return value;
 }
 
-template <class T>
-T word(const Json& object, const char* field, std::initializer_list<std::pair<const char*, T>> words) {
-  std::string given = text(object, field);
-  for (auto& [name, value] : words)
-    if (given == name) return value;
-  throw BadInput(std::string("field ") + field + " holds the unknown word '" + given + "'");
-}
-
 // An outcome without a known word is read as 'may have run'.
 Outcome outcome_of(const Json& fields) {
   static const std::pair<const char*, Outcome> words[] = {{"Ok", Outcome::ok},
--- a/src/benchlink/wire.h
+++ b/src/benchlink/wire.h
@@ -1,25 +1,18 @@
 // The bench's wire: its names and words, and how they are read and written. Nothing here decides.
 #pragma once
-#include <rapidjson/document.h>
-#include <rapidjson/stringbuffer.h>
-#include <rapidjson/writer.h>
-
 #include <memory>
-#include <stdexcept>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "json/fields.h"
 #include "logic.h"
 
 namespace robinhoist::benchlink {
 
-using Json = rapidjson::Value;
+using json::Json;
 
-// What is wrong with the input; the caller adds the line.
-struct BadInput : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
+using json::BadInput;
 
 // One instance, with the words that stand for its indices.
 struct Instance {
--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,69 @@
+// robinhoist: the command line. Exit status: 0 fine, 1 it ran and something was not kept, 2 bad input.
+#include <CLI/CLI.hpp>
+#include <iostream>
+
+#include "controller/process.h"
+#include "standin/agent.h"
+#include "umpire/process.h"
+
+namespace {
+
+using robinhoist::settings::Form;
+
+// Which settings a file holds follows from its forms.
+int check(const std::string& file) {
+  namespace rh = robinhoist;
+  Form root = Form::of_file(file);
+  const char* kind = "";
+  if (root.has("umpire")) kind = "umpire", rh::umpire::read(root);
+  else if (root.has("standin")) kind = "standin", rh::standin::read(root);
+  else if (root.has("controller")) kind = "controller", rh::controller::read(root);
+  else if (root.has("list")) kind = "list", rh::controller::read_list(root);
+  else {
+    std::cerr << file << ":1: holds none of (umpire ...), (controller ...), (list ...), (standin ...)\n";
+    return 2;
+  }
+  std::cout << file << ": good settings of a " << kind << "\n";
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  namespace rh = robinhoist;
+  CLI::App app{
+      "robinhoist tries out new builds on live traffic: umpires route txns to nodes, judge the release on "
+      "trial and vote; a controller moves releases through their waves."};
+  app.require_subcommand(1);
+  app.set_help_all_flag("--help-all", "Help of all sub-commands");
+  std::string config;
+  auto add = [&](const char* name, const char* what) {
+    CLI::App* sub = app.add_subcommand(name, what);
+    sub->add_option("--config", config, "Settings as S-expressions")->required()->check(CLI::ExistingFile);
+    return sub;
+  };
+  CLI::App* umpire = add("umpire", "Run one umpire: an HTTP/1.1 reverse proxy that routes, judges and votes");
+  CLI::App* controller =
+      add("controller", "Run the release controller: waves, caps, votes, orders to machines");
+  CLI::App* list = add("list", "Run the list of nodes that umpires watch");
+  CLI::App* standin = add("standin", "Run stand-in nodes: simulated machines behind real sockets");
+  CLI::App* checks =
+      app.add_subcommand("check", "Check a file of settings; says all that is wrong, with lines");
+  checks->add_option("FILE", config, "Settings as S-expressions")->required();
+  CLI11_PARSE(app, argc, argv);
+  try {
+    if (*checks) return check(config);
+    Form root = Form::of_file(config);
+    if (*umpire) return rh::umpire::run(rh::umpire::read(root));
+    if (*controller) return rh::controller::run(rh::controller::read(root));
+    if (*list) return rh::controller::run_list(rh::controller::read_list(root));
+    if (*standin) return rh::standin::run(rh::standin::read(root));
+  } catch (const rh::settings::Invalid& invalid) {
+    std::cerr << invalid.what() << "\n";
+    return 2;
+  } catch (const std::exception& failed) {
+    std::cerr << "robinhoist: " << failed.what() << "\n";
+    return 2;
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/controller/controller.cpp
@@ -0,0 +1,261 @@
+#include "controller/controller.h"
+
+#include <algorithm>
+
+#include "json/fields.h"
+
+namespace robinhoist::controller {
+namespace {
+using namespace std::chrono_literals;
+constexpr Span most_wait = 60s;
+
+std::int64_t whole_or(const std::string& text, std::int64_t absent) {
+  if (text.empty() || text.size() > 15 || text.find_first_not_of("0123456789") != std::string::npos)
+    return absent;
+  return std::stoll(text);
+}
+
+const char* word(rollout::OrderKind kind) {
+  static const char* const words[] = {"start", "drain", "stop"};
+  return words[static_cast<int>(kind)];
+}
+
+const char* word(rollout::MachinePhase phase) {
+  static const char* const words[] = {"ordered", "up", "draining", "gone"};
+  return words[static_cast<int>(phase)];
+}
+}  // namespace
+
+Controller::Controller(net::Loop& loop, const Settings& settings, const log::Log& log, Orders orders,
+                       Told told, Voted voted)
+    : loop_(loop), settings_(settings), log_(log),
+      core_(settings.rollout, settings.places, settings.build, settings.umpires), orders_(std::move(orders)),
+      told_(std::move(told)),
+      voted_(std::move(voted)), published_{core_.version(), core_.news(loop.now()), loop.now()},
+      server_(std::make_unique<http::Server>(loop, settings.server,
+                                             [this](const http::ExchangePtr& e) { handle(e); })) {
+  seen_version_ = core_.version();
+  loop_.in(Span(0), [this] { pull(); });
+}
+
+Controller::~Controller() {
+  loop_.cancel(look_);
+  for (Waiting& waiting : waiting_) {
+    loop_.cancel(waiting.timer);
+    waiting.exchange->on_gone = nullptr;
+  }
+}
+
+void Controller::trouble(Trouble trouble, double count_share) {
+  trouble_ = trouble;
+  count_share_ = count_share;
+  if (trouble == Trouble::none) pull();
+}
+
+void Controller::pull() {
+  loop_.cancel(look_);
+  if (trouble_ != Trouble::none) return;  // it stands still
+  const Span now = loop_.now();
+  while (auto order = core_.next(now)) {
+    log_.debug("order", {{"is", word(order->kind)},
+                         {"machine", log::text(order->machine)},
+                         {"place", log::text(order->place)},
+                         {"build", log::text(order->build)}});
+    if (orders_) orders_(*order);
+    else untaken_.push_back(*order);
+  }
+  const auto& changes = core_.changes();
+  for (; seen_changes_ < changes.size(); ++seen_changes_) {
+    const rollout::Change& change = changes[seen_changes_];
+    log_.info("release", {{"build", log::text(change.build)},
+                          {"wave", log::text(change.stage)},
+                          {"phase", rollout::word(change.phase)},
+                          {"why", change.why}});
+  }
+  if (core_.version() != seen_version_) {
+    seen_version_ = core_.version();
+    publish();
+  }
+  if (auto at = core_.next_look(now)) look_ = loop_.at(*at, [this] { pull(); });
+}
+
+// Told after the lag that holds now, and never before what was said earlier.
+void Controller::publish() {
+  const Span now = loop_.now();
+  RelNews rel = core_.news(now);
+  Published next{core_.version(), rel, now - rel.since};
+  last_due_ = std::max(last_due_, now + lag_);
+  loop_.at(last_due_, [this, next] {
+    published_ = next;
+    auto waiting = std::move(waiting_);
+    waiting_.clear();
+    for (Waiting& one : waiting) answer(one);
+  });
+}
+
+void Controller::answer(Waiting& waiting) {
+  loop_.cancel(waiting.timer);
+  waiting.exchange->on_gone = nullptr;
+  rollout::News news{settings_.series, published_.version, published_.rel};
+  news.rel.since = loop_.now() - published_.at;
+  if (told_) told_(waiting.umpire, news);
+  waiting.exchange->answer(http::json_answer(200, rollout::encoded(news)));
+}
+
+void Controller::ask(const http::ExchangePtr& exchange) {
+  const http::Request& request = exchange->request;
+  Waiting waiting{exchange, request.query("umpire"), request.query("series"),
+                  whole_or(request.query("since"), 0)};
+  const auto wait =
+      std::min<Span>(most_wait, std::chrono::milliseconds(whole_or(request.query("wait_ms"), 0)));
+  if (waiting.series != settings_.series || waiting.since != published_.version || wait <= Span{})
+    return answer(waiting);
+  waiting_.push_back(std::move(waiting));
+  auto at = std::prev(waiting_.end());
+  at->timer = loop_.in(wait, [this, at] {
+    Waiting due = std::move(*at);
+    waiting_.erase(at);
+    answer(due);
+  });
+  exchange->on_gone = [this, at] {
+    loop_.cancel(at->timer);
+    waiting_.erase(at);
+  };
+}
+
+void Controller::vote(const http::ExchangePtr& exchange) {
+  std::string umpire;
+  int build = 0, stage = 0;
+  Verdict verdict{};
+  try {
+    auto document = json::object_of(exchange->request.body);
+    umpire = json::text(document, "umpire");
+    build = json::whole(document, "build", 0, 65535);
+    stage = json::whole(document, "stage", 0, 1000);
+    verdict = json::word<Verdict>(
+        document, "verdict",
+        {{"none", Verdict::none}, {"on", Verdict::on}, {"hold", Verdict::hold}, {"back", Verdict::back}});
+    if (umpire.empty()) json::mistyped("umpire", "a name");
+  } catch (const json::BadInput& bad) {
+    return exchange->answer(http::text_answer(422, std::string(bad.what()) + "\n"));
+  }
+  const bool counts =
+      trouble_ == Trouble::none ||
+      (trouble_ == Trouble::silent && std::uniform_real_distribution<double>(0, 1)(chance_) < count_share_);
+  Outcome outcome = Outcome::error;
+  if (counts) outcome = core_.vote(umpire, build, stage, verdict, loop_.now());
+  if (voted_) voted_(umpire, build, stage, verdict, outcome);
+  if (trouble_ == Trouble::silent) {
+    // Never answered; it goes when the umpire hangs up.
+    exchange->on_gone = [keep = exchange]() mutable { keep.reset(); };
+    return;
+  }
+  const int status = outcome == Outcome::ok     ? 200
+                     : outcome == Outcome::moot ? 409
+                     : outcome == Outcome::full ? 429
+                                                : 503;
+  exchange->answer(
+      http::json_answer(status, json::Out().open().put("result", rollout::word(outcome)).close().text()));
+  pull();
+}
+
+void Controller::act(const http::ExchangePtr& exchange, const std::string& what) {
+  bool done = false;
+  std::string why;
+  try {
+    auto document = json::object_of(exchange->request.body);
+    if (what == "offer") {
+      auto refused = core_.offer(json::whole(document, "build", 1, 65535), loop_.now());
+      done = !refused;
+      why = refused.value_or("");
+    } else {
+      const std::string reason = json::text(document, "why");
+      if (reason.empty()) json::mistyped("why", "a reason");
+      done =
+          what == "back" ? core_.back(reason, loop_.now()) : core_.hold(what == "hold", reason, loop_.now());
+      if (!done) why = "the release is not in a state that allows it";
+    }
+  } catch (const json::BadInput& bad) {
+    return exchange->answer(http::text_answer(422, std::string(bad.what()) + "\n"));
+  }
+  pull();
+  exchange->answer(done ? http::json_answer(200, shown()) : http::text_answer(409, why + "\n"));
+}
+
+std::string Controller::shown() const {
+  const Span now = loop_.now();
+  RelNews rel = core_.news(now);
+  json::Out out;
+  out.open().put("build", rel.build).put("stage", rel.stage).put("phase", rollout::word(rel.phase));
+  out.put("cap", rel.cap).put_ms("since_ms", rel.since).put("held", core_.held(now));
+  out.put("version", static_cast<long>(core_.version())).open_list("votes");
+  for (auto& [umpire, vote] : core_.votes(now))
+    out.open()
+        .put("umpire", umpire)
+        .put("stage", vote.stage)
+        .put("verdict", rollout::word(vote.verdict))
+        .close();
+  out.close_list().open_list("machines");
+  for (auto& [id, machine] : core_.machines())
+    out.open()
+        .put("machine", id)
+        .put("place", machine.place)
+        .put("build", machine.build)
+        .put("phase", word(machine.phase))
+        .close();
+  out.close_list().open_list("changes");
+  for (const rollout::Change& change : core_.changes())
+    out.open()
+        .put_ms("at_ms", change.at)
+        .put("build", change.build)
+        .put("stage", change.stage)
+        .put("phase", rollout::word(change.phase))
+        .put("why", change.why)
+        .close();
+  return out.close_list().close().text();
+}
+
+std::string Controller::taken_orders() {
+  json::Out out;
+  out.open().open_list("orders");
+  for (const rollout::Order& order : untaken_)
+    out.open()
+        .put("is", word(order.kind))
+        .put("machine", order.machine)
+        .put("place", order.place)
+        .put("build", order.build)
+        .close();
+  untaken_.clear();
+  return out.close_list().close().text();
+}
+
+void Controller::handle(const http::ExchangePtr& exchange) {
+  const http::Request& request = exchange->request;
+  const std::string path(request.path());
+  const bool get = request.method == "GET", post = request.method == "POST";
+  if (get && path == "/health") return exchange->answer(http::text_answer(200, "well\n"));
+  if (get && path == "/v1/news") return ask(exchange);
+  if (post && path == "/v1/votes") return vote(exchange);
+  if (trouble_ == Trouble::errors) return exchange->answer(http::text_answer(503, "out of order\n"));
+  if (get && path == "/v1/releases") return exchange->answer(http::json_answer(200, shown()));
+  if (post && path == "/v1/releases") return act(exchange, "offer");
+  for (const char* what : {"hold", "resume", "back"})
+    if (post && path == std::string("/v1/releases/") + what) return act(exchange, what);
+  if (get && path == "/v1/orders") return exchange->answer(http::json_answer(200, taken_orders()));
+  if (post && path == "/v1/machines") {
+    try {
+      auto document = json::object_of(request.body);
+      const int machine = json::whole(document, "machine");
+      const bool up = json::word<bool>(document, "state", {{"up", true}, {"gone", false}});
+      if (up) core_.machine_up(machine, loop_.now());
+      else core_.machine_gone(machine, loop_.now());
+    } catch (const json::BadInput& bad) {
+      return exchange->answer(http::text_answer(422, std::string(bad.what()) + "\n"));
+    }
+    pull();
+    return exchange->answer(http::json_answer(200, "{}"));
+  }
+  exchange->answer(http::text_answer(404, "no such thing here\n"));
+}
+
+}  // namespace robinhoist::controller
--- /dev/null
+++ b/src/deployment/deployment.cpp
@@ -0,0 +1,214 @@
+#include "deployment/deployment.h"
+
+#include <algorithm>
+#include <set>
+
+namespace robinhoist::deployment {
+namespace {
+
+using namespace std::chrono_literals;
+using settings::Form;
+
+NamedProduct read_product(Form form) {
+  NamedProduct named;
+  named.name = form.own_word(0, "a name");
+  Product& product = named.product;
+  product.sla = form.span("sla", 1ms, 10min);
+  product.expiry = form.span("expiry", 1ms, 10min);
+  product.revenue = form.number("revenue", 0, 1e6, 1.0);
+  product.late_share = form.number("late-share", 0, 1, 0.0);
+  product.effect = form.word<Effect>(
+      "effect",
+      {{"inquiry", Effect::inquiry}, {"referenced", Effect::referenced}, {"once-only", Effect::once_only}});
+  product.group = form.word<Group>(
+      "group", {{"all", Group::all}, {"zone", Group::zone}, {"cell", Group::cell}}, Group::all);
+  product.memory = form.span("memory", 0ms, 24h, 0ms);
+  product.stream = false;
+  if (product.expiry < product.sla) form.problem("expiry", "is shorter than the SLA time");
+  if (product.effect == Effect::referenced && product.memory == Span{})
+    form.problem("memory is missing: a referenced product needs the time for which nodes drop its repeats");
+  if (product.effect != Effect::referenced && form.has("memory"))
+    form.problem("memory", "has a meaning for a referenced product only");
+  for (Form& match : form.each("match", 1)) {
+    Match one{match.own_word(0, "a method"), match.own_word(1, "a path"), false};
+    if (!one.path.empty() && one.path.back() == '*') {
+      one.prefix = true;
+      one.path.pop_back();
+    }
+    if (one.path.empty() || one.path[0] != '/') match.problem("the path must begin with /");
+    if (match.own_words() != 2) match.problem("holds more than a method and a path");
+    match.finish();
+    named.matches.push_back(one);
+  }
+  form.finish();
+  return named;
+}
+
+void read_rules(Form form, Deployment& to) {
+  to.drain_grace = form.span("drain-grace", 1ms, 10min);
+  to.cold_from = form.number("cold-from", 0.01, 1);
+  to.cold_for = form.span("cold-for", 0ms, 10min);
+  to.fall_multiple = form.number("fall-multiple", 1, 1000);
+  to.fall_window = form.span("fall-window", 1ms, 10min);
+  to.window = form.span("exposure-window", 1ms, 10min);
+  to.free = form.number("exposure-free", 0, 1000);
+  to.by_product = form.word<bool>("exposure-counts", {{"all", false}, {"each-product", true}}, false);
+  to.one_way = form.truth("one-way", false);
+  to.safe_only_stages = form.whole("safe-only-waves", 0, 100, 0);
+  to.max_submissions = form.whole("max-submissions", 1, 100, 5);
+  to.second_copies = form.truth("second-copies", true);
+  to.advice = form.truth("advice", true);
+  to.max_pause = form.span("max-pause", 0ms, 10min, 2s);
+  form.finish();
+}
+
+void read_rollout(Form form, Deployment& to) {
+  rollout::Settings& rollout = to.rollout;
+  rollout.waves = form.numbers("waves", 0.0001, 1, 1);
+  rollout.caps = form.numbers("caps", 0, 1, 1);
+  if (!rollout.waves.empty()) {
+    if (!std::is_sorted(rollout.waves.begin(), rollout.waves.end()))
+      form.problem("waves", "must not fall from one wave to the next");
+    if (rollout.waves.back() < 1) form.problem("waves", "the last must be 1, the whole fleet");
+  }
+  if (rollout.waves.size() != rollout.caps.size())
+    form.problem("caps", std::to_string(rollout.caps.size()) + " given for " +
+                             std::to_string(rollout.waves.size()) + " waves");
+  rollout.gate = form.word<Gate>(
+      "gate", {{"first-vote", Gate::first_vote}, {"count", Gate::count}, {"clock", Gate::clock}});
+  rollout.bake = form.span("bake", 0ms, 24h);
+  rollout.step = form.span("step", 0ms, 24h, 0ms);
+  if (rollout.gate == Gate::clock && rollout.step == Span{})
+    form.problem("step is missing: the clock needs it");
+  rollout.settle = form.span("settle", 0ms, 1h, 1s);
+  rollout.launch_most = form.span("launch-within", 1ms, 24h, 8s);
+  rollout.drain = form.span("drain", 0ms, 24h);
+  if (rollout.drain < to.drain_grace)
+    form.problem("drain", "is shorter than the drain-grace of the rules: work would be cut off");
+  rollout.vote_life = form.span("vote-life", 1ms, 1h);
+  rollout.to_advance = form.number("advance-share", 0, 1, 0.0);
+  rollout.to_hold = form.number("hold-share", 0, 1, 0.1);
+  rollout.to_revert = form.number("back-share", 0, 1);
+  rollout.calls_per_s = form.number("votes-per-s", 0.1, 1e6);
+  rollout.in_place = form.word<bool>("style", {{"beside", false}, {"in-place", true}}, false);
+  to.vote_timeout = form.span("vote-timeout", 1ms, 1min, 1s);
+  to.flag_share = form.number("reports-share", 0, 1, 0.0);
+  form.finish();
+}
+
+}  // namespace
+
+Deployment read(Form form) {
+  Deployment to;
+  std::set<std::string> names;
+  for (Form& product : form.each("product", 1)) {
+    to.products.push_back(read_product(product));
+    if (!names.insert(to.products.back().name).second) product.problem("a second product of that name");
+  }
+  names.clear();
+  for (Form& tenant : form.each("tenant")) {
+    NamedTenant named;
+    named.name = tenant.own_word(0, "a name");
+    named.tenant.share = tenant.number("share", 0, 1, 1.0);
+    named.tenant.allowance_per_s = tenant.number("allowance", 0, 1e9);
+    tenant.finish();
+    if (!names.insert(named.name).second) tenant.problem("a second tenant of that name");
+    to.tenants.push_back(named);
+  }
+  Form zones = form.sub("zones");
+  for (std::size_t i = 0; i < zones.own_words(); ++i) to.zones.push_back(zones.own_word(i, "a zone"));
+  if (to.zones.empty()) {
+    form.problem("zones", "names none");
+    to.zones.push_back("");
+  }
+  to.umpires = form.whole("umpires", 1, 100000);
+  to.sized = form.truth("sized-nodes", false);
+  to.over_share_revenue = form.number("over-share-revenue", 0, 1, 1.0);
+  to.reports = form.word<Reports>("load-reports", {{"none", Reports::none}, {"answers", Reports::answers}},
+                                  Reports::answers);
+  read_rules(form.sub("rules"), to);
+  read_rollout(form.sub("rollout"), to);
+  form.finish();
+  return to;
+}
+
+int Deployment::product_of(std::string_view method, std::string_view path) const {
+  for (std::size_t p = 0; p < products.size(); ++p)
+    for (const Match& match : products[p].matches)
+      if (match.method == method &&
+          (match.prefix ? path.substr(0, match.path.size()) == match.path : path == match.path))
+        return static_cast<int>(p);
+  return -1;
+}
+
+int Deployment::product(const std::string& name) const {
+  for (std::size_t p = 0; p < products.size(); ++p)
+    if (products[p].name == name) return static_cast<int>(p);
+  return -1;
+}
+
+int Deployment::tenant(std::string_view name) const {
+  for (std::size_t t = 0; t < tenants.size(); ++t)
+    if (tenants[t].name == name) return static_cast<int>(t);
+  return -1;
+}
+
+int Deployment::zone(std::string_view name) const {
+  auto at = std::find(zones.begin(), zones.end(), name);
+  return at == zones.end() ? -1 : static_cast<int>(at - zones.begin());
+}
+
+NodeSettings node_settings(const Deployment& d, int zone, int number) {
+  NodeSettings to{};
+  to.zone = zone;
+  to.cold_for = d.cold_for;
+  to.fall_window = d.fall_window;
+  to.cold_from = d.cold_from;
+  to.fall_multiple = d.fall_multiple;
+  to.must_ask = false;  // the list's source watches by itself
+  to.sized = d.sized;
+  to.probes = false;
+  to.reports = d.reports;
+  to.me = number;
+  to.umpires = d.umpires;
+  return to;
+}
+
+ExposureSettings exposure_settings(const Deployment& d) {
+  return {d.window, d.free, d.by_product, d.one_way, d.rollout.in_place, d.safe_only_stages, d.rollout.caps};
+}
+
+GateSettings gate_settings(const Deployment& d) {
+  auto votes = [&](double share) { return rollout::Rollout::needed(share, d.umpires); };
+  return {d.rollout.gate,
+          d.rollout.bake,
+          d.rollout.step,
+          d.rollout.vote_life,
+          d.vote_timeout,
+          d.rollout.calls_per_s,
+          d.flag_share,
+          d.umpires,
+          d.rollout.gate == Gate::clock        ? 0
+          : d.rollout.gate == Gate::first_vote ? 1
+                                               : votes(d.rollout.to_advance),
+          d.rollout.gate == Gate::clock ? votes(d.rollout.to_hold) : 0,
+          votes(d.rollout.to_revert)};
+}
+
+TxnSettings txn_settings(const Deployment& d, Span tick) {
+  TxnSettings to{};
+  for (auto& product : d.products) to.products.push_back(product.product);
+  for (auto& tenant : d.tenants) to.tenants.push_back(tenant.tenant);
+  to.max_submissions = d.max_submissions;
+  to.umpires = d.umpires;
+  to.second_copies = d.second_copies;
+  to.cancelling = true;
+  to.advice = d.advice;
+  to.max_pause = d.max_pause;
+  to.slack = Span{};
+  to.tick = tick;
+  to.over_share_revenue = d.over_share_revenue;
+  return to;
+}
+
+}  // namespace robinhoist::deployment
--- /dev/null
+++ b/src/deployment/deployment.h
@@ -0,0 +1,64 @@
+// What umpires, controller and a played day of one deployment have in common: products, tenants, zones, the
+// figures of the rules and how releases come. Read from S-expressions, checked whole.
+#pragma once
+#include <string>
+#include <vector>
+
+#include "rollout/rollout.h"
+#include "settings/form.h"
+#include "state.h"
+
+namespace robinhoist::deployment {
+
+// Which requests are txns of a product: method, and a path or, with a star at its end, the start of one.
+struct Match {
+  std::string method, path;
+  bool prefix;
+};
+
+struct NamedProduct {
+  std::string name{};
+  Product product{};
+  std::vector<Match> matches{};
+};
+
+struct NamedTenant {
+  std::string name{};
+  Tenant tenant{};
+};
+
+struct Deployment {
+  std::vector<NamedProduct> products{};
+  std::vector<NamedTenant> tenants{};
+  std::vector<std::string> zones{};
+  int umpires = 1;
+  // Figures of the rules.
+  Span drain_grace{}, cold_for{}, fall_window{}, window{};
+  double cold_from = 0, fall_multiple = 0, free = 0;
+  bool by_product = false, one_way = false;
+  int safe_only_stages = 0;
+  // What is allowed.
+  int max_submissions = 0;
+  bool second_copies = false, sized = false, advice = false;
+  Span max_pause{}, vote_timeout{};
+  double flag_share = 0, over_share_revenue = 0;
+  Reports reports = Reports::none;
+  rollout::Settings rollout{};
+
+  // -1: no product takes it.
+  int product_of(std::string_view method, std::string_view path) const;
+  int product(const std::string& name) const;
+  int tenant(std::string_view name) const;  // -1: unknown
+  int zone(std::string_view name) const;    // -1: unknown
+};
+
+// Reads the keys of a (deployment ...) form; problems are left with the form.
+Deployment read(settings::Form form);
+
+// The module's settings for one umpire of the deployment.
+NodeSettings node_settings(const Deployment& deployment, int zone, int number);
+ExposureSettings exposure_settings(const Deployment& deployment);
+GateSettings gate_settings(const Deployment& deployment);
+TxnSettings txn_settings(const Deployment& deployment, Span tick);
+
+}  // namespace robinhoist::deployment
--- /dev/null
+++ b/src/http/caller.cpp
@@ -0,0 +1,180 @@
+#include "http/caller.h"
+
+#include <algorithm>
+
+namespace robinhoist::http {
+
+// One connection and the call that it carries, if any.
+class Connection : public net::Stream::Owner, public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(Caller& caller) : caller_(&caller), reader_(caller.settings_.limits) {}
+  ~Connection() override {
+    if (stream_) stream_->drop();
+  }
+
+  void connect() {
+    stream_ = net::Stream::connect(caller_->loop_, caller_->peer_, *this);
+    connect_timer_ = caller_->loop_.in(caller_->settings_.connect_within, [this] {
+      connect_timer_ = net::Loop::no_timer;
+      end(Ended::unreached);
+    });
+  }
+
+  void carry(Caller::Id id, const Request& request, net::Span within, Caller::Done done) {
+    id_ = id;
+    done_ = std::move(done);
+    caller_->loop_.cancel(timer_);
+    timer_ = caller_->loop_.in(within, [this] {
+      timer_ = net::Loop::no_timer;
+      end(written_ ? Ended::timed_out : Ended::unreached);
+    });
+    reader_.expect(request.method == "HEAD");
+    written_ = false;
+    out_.clear();
+    put(out_, request, caller_->host_);
+    if (stream_ && stream_->open()) send();
+  }
+
+  void on_open(net::Stream&) override {
+    caller_->loop_.cancel(connect_timer_);
+    send();
+  }
+
+  void on_bytes(net::Stream& stream) override {
+    auto self = shared_from_this();
+    if (!busy()) return end(Ended::garbled);  // words that nobody asked for
+    Read read = reader_.read(stream.in());
+    if (read == Read::bad) return end(Ended::garbled);
+    if (read == Read::whole) finished();
+  }
+
+  void on_closed(net::Stream& stream, net::Closed how) override {
+    auto self = shared_from_this();
+    if (busy() && how == net::Closed::by_peer && reader_.begun() &&
+        reader_.read(stream.in(), true) == Read::whole)
+      return finished();
+    end(written_ ? (reader_.fault().status != 0 && reader_.begun() ? Ended::garbled : Ended::broken)
+                 : Ended::unreached);
+  }
+
+  // The connection is over; its call, if any, ends so.
+  void end(Ended how) {
+    if (!caller_) return;
+    auto self = shared_from_this();
+    Caller* caller = caller_;
+    caller_ = nullptr;
+    caller->loop_.cancel(timer_);
+    caller->loop_.cancel(connect_timer_);
+    if (stream_) stream_->drop(how == Ended::cancelled || how == Ended::timed_out);
+    caller->remove(this);
+    tell(how, {});
+  }
+
+  // Ends it without a word.
+  void abandon() {
+    done_ = nullptr;
+    end(Ended::cancelled);
+  }
+
+  bool busy() const { return done_ != nullptr; }
+  Caller::Id id() const { return busy() ? id_ : 0; }
+  bool usable() const { return caller_ && stream_ && stream_->open(); }
+
+ private:
+  void send() {
+    written_ = true;
+    stream_->write(out_);
+    out_.clear();
+  }
+
+  void finished() {
+    Response response = reader_.take();
+    auto self = shared_from_this();
+    // What follows an answer that nobody asked for taints the connection.
+    if (!response.keep_alive || !stream_->open() || !stream_->in().empty()) {
+      Caller* caller = caller_;
+      caller_ = nullptr;
+      caller->loop_.cancel(timer_);
+      stream_->drop();
+      caller->remove(this);
+    } else {
+      caller_->loop_.cancel(timer_);
+      timer_ = caller_->loop_.in(caller_->settings_.keep_for, [this] {
+        timer_ = net::Loop::no_timer;
+        end(Ended::cancelled);
+      });
+      caller_->idle_.push_back(this);
+    }
+    tell(Ended::answered, std::move(response));
+  }
+
+  void tell(Ended how, Response&& response) {
+    Caller::Done done = std::move(done_);
+    done_ = nullptr;
+    if (done) done(how, std::move(response));
+  }
+
+  Caller* caller_;
+  std::shared_ptr<net::Stream> stream_{};
+  ResponseReader reader_;
+  Caller::Id id_ = 0;
+  Caller::Done done_{};
+  std::string out_{};
+  net::Loop::Timer timer_ = net::Loop::no_timer, connect_timer_ = net::Loop::no_timer;
+  bool written_ = false;
+};
+
+Caller::Caller(net::Loop& loop, Poco::Net::SocketAddress peer, const CallerSettings& settings)
+    : loop_(loop), peer_(std::move(peer)), host_(peer_.toString()), settings_(settings) {}
+
+Caller::~Caller() {
+  auto connections = connections_;
+  for (auto& connection : connections) connection->abandon();
+}
+
+Caller::Id Caller::call(const Request& request, net::Span within, Done done) {
+  const Id id = next_++;
+  while (!idle_.empty()) {
+    Connection* last = idle_.back();
+    idle_.pop_back();
+    if (!last->usable()) continue;
+    ++reused_;
+    last->carry(id, request, within, std::move(done));
+    return id;
+  }
+  if (connections_.size() >= settings_.most_connections) {
+    loop_.in(net::Span(0), [done = std::move(done)] { done(Ended::unreached, {}); });
+    return 0;
+  }
+  ++opened_;
+  auto connection = std::make_shared<Connection>(*this);
+  connections_.push_back(connection);
+  connection->connect();
+  connection->carry(id, request, within, std::move(done));
+  return id;
+}
+
+void Caller::cancel(Id id) {
+  if (id == 0) return;
+  for (auto& connection : connections_)
+    if (connection->id() == id) return std::shared_ptr<Connection>(connection)->abandon();
+}
+
+void Caller::close_idle() {
+  auto idle = idle_;
+  for (Connection* connection : idle) connection->end(Ended::cancelled);
+}
+
+std::size_t Caller::busy() const {
+  return static_cast<std::size_t>(
+      std::count_if(connections_.begin(), connections_.end(), [](auto& c) { return c->busy(); }));
+}
+
+void Caller::remove(Connection* connection) {
+  idle_.erase(std::remove(idle_.begin(), idle_.end(), connection), idle_.end());
+  auto at =
+      std::find_if(connections_.begin(), connections_.end(), [&](auto& c) { return c.get() == connection; });
+  if (at != connections_.end()) connections_.erase(at);
+}
+
+}  // namespace robinhoist::http
--- /dev/null
+++ b/src/http/caller.h
@@ -0,0 +1,66 @@
+// The client's side of HTTP/1.1 on a Loop: connections to one peer, kept alive and used again, bounded in
+// number; each call says exactly once how it ended, and whether the peer may have acted on it.
+#pragma once
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "http/message.h"
+#include "net/stream.h"
+
+namespace robinhoist::http {
+
+// How a call ended. Only `answered` comes with a response. `unreached` means that not a byte of the request
+// left this process on an open connection, so that the peer can't have acted on it.
+enum class Ended { answered, unreached, broken, garbled, timed_out, cancelled };
+
+struct CallerSettings {
+  std::size_t most_connections = 64;
+  net::Span connect_within = std::chrono::milliseconds(250);
+  net::Span keep_for = std::chrono::seconds(30);  // an idle connection
+  Limits limits{};
+};
+
+class Connection;
+
+class Caller {
+ public:
+  using Done = std::function<void(Ended, Response&&)>;
+  // Names a call for cancel(); 0 is none.
+  using Id = std::uint64_t;
+
+  Caller(net::Loop& loop, Poco::Net::SocketAddress peer, const CallerSettings& settings);
+  ~Caller();  // cancels what is out, without a word
+  Caller(const Caller&) = delete;
+  Caller& operator=(const Caller&) = delete;
+
+  // `done` runs later, never from inside call(), and not after cancel().
+  Id call(const Request& request, net::Span within, Done done);
+  // Closes the connection that carries it: there is no other way to call off HTTP/1.1.
+  void cancel(Id id);
+  void close_idle();
+
+  std::size_t open() const { return connections_.size(); }
+  std::size_t busy() const;
+  long opened() const { return opened_; }
+  long reused() const { return reused_; }
+  const Poco::Net::SocketAddress& peer() const { return peer_; }
+
+ private:
+  friend class Connection;
+  void remove(Connection* connection);
+
+  net::Loop& loop_;
+  Poco::Net::SocketAddress peer_;
+  std::string host_;
+  CallerSettings settings_;
+  std::vector<std::shared_ptr<Connection>> connections_{};
+  std::vector<Connection*> idle_{};  // the last used at the end
+  Id next_ = 1;
+  long opened_ = 0, reused_ = 0;
+};
+
+}  // namespace robinhoist::http
--- /dev/null
+++ b/src/http/message.cpp
@@ -0,0 +1,334 @@
+#include "http/message.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <cctype>
+#include <optional>
+
+namespace robinhoist::http {
+namespace beast = boost::beast::http;
+namespace {
+
+using Error = boost::beast::error_code;
+
+std::string_view view(boost::beast::string_view text) { return {text.data(), text.size()}; }
+
+// Feeds a parser with the front of a buffer.
+template <class P>
+void feed(P& parser, std::string& in, Error& error) {
+  std::size_t at = 0;
+  do {
+    error = {};
+    std::size_t used = parser.put(boost::asio::buffer(in.data() + at, in.size() - at), error);
+    at += used;
+    if (error || used == 0) break;
+  } while (!parser.is_done() && at < in.size());
+  in.erase(0, at);
+}
+
+Fault fault_of(const Error& error) {
+  if (error == beast::error::body_limit) return {413, "the body is larger than allowed"};
+  if (error == beast::error::header_limit) return {431, "the head is larger than allowed"};
+  if (error == beast::error::bad_version) return {505, "not HTTP/1.0 or HTTP/1.1"};
+  return {400, error.message()};
+}
+
+template <class Message>
+void copy_headers(const Message& from, Headers& to) {
+  for (auto& field : from) to.add(view(field.name_string()), view(field.value()));
+}
+
+void put_headers(std::string& out, const Headers& headers) {
+  for (auto& [name, value] : headers.all()) {
+    out += name;
+    out += ": ";
+    out += value;
+    out += "\r\n";
+  }
+}
+
+void put_status(std::string& out, const Response& response) {
+  out += "HTTP/1.1 ";
+  out += std::to_string(response.status);
+  out += ' ';
+  out += reason(response.status);
+  out += "\r\n";
+  put_headers(out, response.headers);
+  if (!response.keep_alive) out += "Connection: close\r\n";
+}
+
+bool bodiless(int status) { return status < 200 || status == 204 || status == 304; }
+
+}  // namespace
+
+bool same_word(std::string_view a, std::string_view b) {
+  return a.size() == b.size() &&
+         std::equal(a.begin(), a.end(), b.begin(),
+                    [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
+}
+
+void Headers::set(std::string_view name, std::string_view value) {
+  all_.erase(std::remove_if(all_.begin(), all_.end(), [&](auto& h) { return same_word(h.first, name); }),
+             all_.end());
+  add(name, value);
+}
+
+std::string_view Headers::get(std::string_view name) const {
+  for (auto& [key, value] : all_)
+    if (same_word(key, name)) return value;
+  return {};
+}
+
+bool Headers::has(std::string_view name) const {
+  return std::any_of(all_.begin(), all_.end(), [&](auto& h) { return same_word(h.first, name); });
+}
+
+std::string percent_decoded(std::string_view text) {
+  auto digit = [](char c) { return std::isxdigit(static_cast<unsigned char>(c)) != 0; };
+  std::string out;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] == '%' && i + 2 < text.size() && digit(text[i + 1]) && digit(text[i + 2])) {
+      out += static_cast<char>(std::stoi(std::string(text.substr(i + 1, 2)), nullptr, 16));
+      i += 2;
+    } else {
+      out += text[i] == '+' ? ' ' : text[i];
+    }
+  }
+  return out;
+}
+
+std::string Request::query(std::string_view name) const {
+  std::size_t at = target.find('?');
+  while (at != std::string::npos && at + 1 < target.size()) {
+    std::size_t end = target.find('&', at + 1);
+    std::string_view pair =
+        std::string_view(target).substr(at + 1, end == std::string::npos ? end : end - at - 1);
+    std::size_t equals = pair.find('=');
+    if (pair.substr(0, equals) == name)
+      return equals == std::string_view::npos ? "" : percent_decoded(pair.substr(equals + 1));
+    at = end;
+  }
+  return {};
+}
+
+std::string_view reason(int status) {
+  return view(beast::obsolete_reason(beast::int_to_status(static_cast<unsigned>(status))));
+}
+
+void put(std::string& out, const Request& request, std::string_view host) {
+  out += request.method;
+  out += ' ';
+  out += request.target;
+  out += " HTTP/1.1\r\nHost: ";
+  out += host;
+  out += "\r\n";
+  put_headers(out, request.headers);
+  if (!request.keep_alive) out += "Connection: close\r\n";
+  if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD"))
+    out += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+  out += "\r\n";
+  out += request.body;
+}
+
+void put(std::string& out, const Response& response, bool head_only) {
+  put_status(out, response);
+  if (!bodiless(response.status)) out += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
+  out += "\r\n";
+  if (!head_only && !bodiless(response.status)) out += response.body;
+}
+
+void put_head(std::string& out, const Response& response) {
+  put_status(out, response);
+  out += "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+void put_chunk(std::string& out, std::string_view piece) {
+  if (piece.empty()) return;
+  char size[20];
+  int length = std::snprintf(size, sizeof size, "%zx\r\n", piece.size());
+  out.append(size, static_cast<std::size_t>(length));
+  out += piece;
+  out += "\r\n";
+}
+
+void put_last_chunk(std::string& out) { out += "0\r\n\r\n"; }
+
+void copy_end_to_end(const Headers& from, Headers& to) {
+  static constexpr std::string_view hop[] = {"Connection",
+                                             "Keep-Alive",
+                                             "Proxy-Connection",
+                                             "TE",
+                                             "Trailer",
+                                             "Transfer-Encoding",
+                                             "Upgrade",
+                                             "Host",
+                                             "Expect",
+                                             "Content-Length",
+                                             "Proxy-Authorization",
+                                             "Proxy-Authenticate"};
+  std::string_view named = from.get("Connection");
+  for (auto& [name, value] : from.all()) {
+    bool skip =
+        std::any_of(std::begin(hop), std::end(hop), [&, &key = name](auto h) { return same_word(h, key); });
+    // A field that Connection names belongs to the hop too.
+    for (std::size_t at = 0; !skip && at < named.size();) {
+      std::size_t end = std::min(named.find(',', at), named.size());
+      std::string_view word = named.substr(at, end - at);
+      while (!word.empty() && word.front() == ' ') word.remove_prefix(1);
+      while (!word.empty() && word.back() == ' ') word.remove_suffix(1);
+      skip = same_word(word, name);
+      at = end + 1;
+    }
+    if (!skip) to.add(name, value);
+  }
+}
+
+// Requests
+
+struct RequestReader::Parser {
+  std::optional<beast::request_parser<beast::string_body>> of{};
+  bool begun = false, told_to_go_on = false;
+};
+
+RequestReader::RequestReader(Limits limits) : limits_(limits), parser_(std::make_unique<Parser>()) {}
+RequestReader::~RequestReader() = default;
+bool RequestReader::begun() const { return parser_->begun; }
+
+Read RequestReader::read(std::string& in) {
+  if (fault_.status != 0) return Read::bad;
+  auto& parser = parser_->of;
+  if (!parser) {
+    // Empty lines before a request are to be passed over (RFC 9112, 2.2).
+    std::size_t blank = 0;
+    while (in.compare(blank, 2, "\r\n") == 0) blank += 2;
+    in.erase(0, blank);
+    if (in.empty()) return Read::more;
+    parser.emplace();
+    parser->header_limit(static_cast<std::uint32_t>(limits_.header));
+    parser->body_limit(limits_.body);
+    parser->eager(true);
+    parser_->begun = true;
+    parser_->told_to_go_on = false;
+  }
+  if (in.empty()) return Read::more;
+  Error error;
+  feed(*parser, in, error);
+  if (error == beast::error::need_more) {
+    if (parser->is_header_done() || in.size() <= limits_.header) return Read::more;
+    error = beast::error::header_limit;
+  }
+  if (error) {
+    fault_ = fault_of(error);
+    return Read::bad;
+  }
+  return parser->is_done() ? Read::whole : Read::more;
+}
+
+bool RequestReader::wants_continue() {
+  auto& parser = parser_->of;
+  if (!parser || parser_->told_to_go_on || !parser->is_header_done() || parser->is_done()) return false;
+  auto& message = parser->get();
+  if (message.version() < 11 || !same_word(view(message[beast::field::expect]), "100-continue")) return false;
+  return parser_->told_to_go_on = true;
+}
+
+Request RequestReader::take() {
+  auto message = parser_->of->release();
+  parser_->of.reset();
+  parser_->begun = false;
+  Request request;
+  request.method = view(message.method_string());
+  request.target = view(message.target());
+  request.keep_alive = message.keep_alive();
+  copy_headers(message, request.headers);
+  request.body = std::move(message.body());
+  return request;
+}
+
+// Responses
+
+struct ResponseReader::Parser {
+  std::optional<beast::response_parser<beast::string_body>> of{};
+};
+
+ResponseReader::ResponseReader(Limits limits) : limits_(limits), parser_(std::make_unique<Parser>()) {}
+ResponseReader::~ResponseReader() = default;
+
+void ResponseReader::expect(bool head_only) {
+  head_only_ = head_only;
+  begun_ = false;
+  fault_ = {};
+  parser_->of.emplace();
+  parser_->of->header_limit(static_cast<std::uint32_t>(limits_.header));
+  parser_->of->body_limit(limits_.body);
+  parser_->of->eager(true);
+  if (head_only) parser_->of->skip(true);
+}
+
+Read ResponseReader::read(std::string& in, bool ended) {
+  if (fault_.status != 0) return Read::bad;
+  auto& parser = *parser_->of;
+  Error error;
+  if (!in.empty()) {
+    begun_ = true;
+    feed(parser, in, error);
+    if (error == beast::error::need_more) {
+      error = {};
+      if (!parser.is_header_done() && in.size() > limits_.header) error = beast::error::header_limit;
+    }
+  }
+  if (!error && ended && !parser.is_done()) parser.put_eof(error);
+  if (error) {
+    fault_ = fault_of(error);
+    return Read::bad;
+  }
+  if (!parser.is_done()) return Read::more;
+  // An interim answer (100, 103) is not the answer.
+  if (unsigned status = parser.get().result_int(); status >= 100 && status < 200 && status != 101) {
+    expect(head_only_);
+    return in.empty() ? Read::more : read(in, ended);
+  }
+  return Read::whole;
+}
+
+Response ResponseReader::take() {
+  auto message = parser_->of->release();
+  parser_->of.reset();
+  Response response;
+  response.status = static_cast<int>(message.result_int());
+  response.keep_alive = message.keep_alive();
+  copy_headers(message, response.headers);
+  response.body = std::move(message.body());
+  return response;
+}
+
+// Streams
+
+struct StreamReader::Parser {
+  beast::response_parser<beast::string_body> of{};
+};
+
+StreamReader::StreamReader(Limits limits) : parser_(std::make_unique<Parser>()) {
+  parser_->of.header_limit(static_cast<std::uint32_t>(limits.header));
+  parser_->of.body_limit(boost::none);
+  parser_->of.eager(true);
+}
+StreamReader::~StreamReader() = default;
+
+int StreamReader::status() const {
+  return parser_->of.is_header_done() ? static_cast<int>(parser_->of.get().result_int()) : 0;
+}
+
+Read StreamReader::read(std::string& in) {
+  Error error;
+  if (!in.empty()) feed(parser_->of, in, error);
+  if (error && error != beast::error::need_more) return Read::bad;
+  if (parser_->of.is_header_done()) {
+    body_ += parser_->of.get().body();
+    parser_->of.get().body().clear();
+  }
+  return parser_->of.is_done() ? Read::whole : Read::more;
+}
+
+}  // namespace robinhoist::http
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,242 @@
+#include "http/server.h"
+
+#include <unistd.h>
+
+namespace robinhoist::http {
+
+// A client's connection. One request is with the handler at a time; others wait in the buffer, and reading
+// stops while it holds more than one head may have.
+class Client : public net::Stream::Owner, public std::enable_shared_from_this<Client> {
+ public:
+  Client(Server& server, int fd) : server_(&server), reader_(server.settings_.limits) {
+    stream_ = net::Stream::adopt(server.loop_, fd, *this);
+  }
+  ~Client() override { stream_->drop(); }
+
+  void start() { wait(server_->settings_.idle_for); }
+
+  void on_bytes(net::Stream&) override { next(); }
+  void on_written(net::Stream&) override {
+    if (open_ || closing_) return;
+    stream_->read(true);
+    next();
+  }
+  void on_closed(net::Stream&, net::Closed) override { leave(); }
+
+  void answer(const Response& response) {
+    if (!server_) return;
+    out_.clear();
+    Response sent = response;
+    sent.keep_alive = sent.keep_alive && keep_alive_ && !server_->draining_;
+    put(out_, sent, head_only_);
+    stream_->write(out_);
+    after(sent.keep_alive);
+  }
+
+  void begin_stream(const Response& head) {
+    if (!server_) return;
+    out_.clear();
+    put_head(out_, head);
+    stream_->write(out_);
+  }
+
+  bool piece(std::string_view bytes) {
+    if (!server_) return false;
+    out_.clear();
+    put_chunk(out_, bytes);
+    stream_->write(out_);
+    return stream_->unwritten() <= server_->settings_.stream_backlog;
+  }
+
+  void last(std::string_view bytes) {
+    if (!server_) return;
+    out_.clear();
+    put_chunk(out_, bytes);
+    put_last_chunk(out_);
+    stream_->write(out_);
+    after(keep_alive_ && !server_->draining_);
+  }
+
+  void leave(bool reset = false) {
+    if (!server_) return;
+    auto self = shared_from_this();
+    Server* server = server_;
+    server_ = nullptr;
+    server->loop_.cancel(timer_);
+    stream_->drop(reset);
+    server->clients_.erase(self);
+    gone();
+  }
+
+  void close_if_idle() {
+    if (!open_ && server_) leave();
+  }
+
+  std::size_t unwritten() const { return stream_->unwritten(); }
+
+ private:
+  void gone() {
+    auto exchange = open_;
+    open_ = nullptr;
+    if (exchange && exchange->on_gone) exchange->on_gone();
+  }
+
+  void after(bool keep) {
+    open_ = nullptr;
+    if (!keep) {
+      closing_ = true;
+      stream_->finish();
+      // A client that does not read its last answer is not waited for without end.
+      wait(server_->settings_.head_within);
+      return;
+    }
+    wait(server_->settings_.idle_for);
+    if (in_handler_) return;
+    stream_->read(true);
+    if (!stream_->in().empty()) next();
+  }
+
+  void refuse(int status, const std::string& why) {
+    keep_alive_ = false;
+    head_only_ = false;
+    Response response = text_answer(status, why + "\n");
+    response.keep_alive = false;
+    answer(response);
+  }
+
+  void next() {
+    auto self = shared_from_this();
+    while (server_ && !open_ && !closing_) {
+      // A client that does not read its answers gets no further ones.
+      if (stream_->unwritten() > server_->settings_.stream_backlog) return stream_->read(false);
+      const bool had_begun = reader_.begun();
+      Read read = reader_.read(stream_->in());
+      if (read == Read::bad) return refuse(reader_.fault().status, reader_.fault().why);
+      if (reader_.wants_continue()) stream_->write("HTTP/1.1 100 Continue\r\n\r\n");
+      if (read == Read::more) {
+        if (reader_.begun() && !had_begun) wait(server_->settings_.head_within);
+        return stream_->read(true);
+      }
+      Request request = reader_.take();
+      server_->loop_.cancel(timer_);
+      keep_alive_ = request.keep_alive;
+      head_only_ = request.method == "HEAD";
+      open_ = std::make_shared<Exchange>(weak_from_this(), std::move(request), server_->loop_.now());
+      in_handler_ = true;
+      server_->handler_(ExchangePtr(open_));
+      in_handler_ = false;
+    }
+    if (server_ && open_ && stream_->in().size() > server_->settings_.limits.header) stream_->read(false);
+  }
+
+  void wait(net::Span span) {
+    server_->loop_.cancel(timer_);
+    timer_ = server_->loop_.in(span, [this] {
+      timer_ = net::Loop::no_timer;
+      if (!closing_ && reader_.begun()) return refuse(408, "the request took too long to come");
+      leave();
+    });
+  }
+
+  Server* server_;
+  std::shared_ptr<net::Stream> stream_;
+  RequestReader reader_;
+  ExchangePtr open_{};
+  net::Loop::Timer timer_ = net::Loop::no_timer;
+  std::string out_{};
+  bool keep_alive_ = true, head_only_ = false, closing_ = false, in_handler_ = false;
+};
+
+Exchange::~Exchange() {
+  if (answered_) return;
+  if (auto client = client_.lock()) {
+    answered_ = true;
+    client->answer(text_answer(500, "the request got lost inside\n"));
+  }
+}
+
+void Exchange::answer(Response response) {
+  if (answered_) return;
+  answered_ = true;
+  if (auto client = client_.lock()) client->answer(response);
+}
+
+void Exchange::hang_up() {
+  if (answered_ && !streaming_) return;
+  answered_ = true;
+  if (auto client = client_.lock()) client->leave(true);
+}
+
+void Exchange::begin_stream(Response head) {
+  if (answered_) return;
+  answered_ = streaming_ = true;
+  if (auto client = client_.lock()) client->begin_stream(head);
+}
+
+bool Exchange::write(std::string_view piece) {
+  auto client = client_.lock();
+  return client && client->piece(piece);
+}
+
+void Exchange::end(std::string_view last) {
+  if (!streaming_) return;
+  streaming_ = false;
+  if (auto client = client_.lock()) client->last(last);
+}
+
+std::size_t Exchange::unwritten() const {
+  auto client = client_.lock();
+  return client ? client->unwritten() : 0;
+}
+
+Server::Server(net::Loop& loop, const ServerSettings& settings, Handler handler)
+    : loop_(loop), settings_(settings), handler_(std::move(handler)),
+      listener_(std::make_unique<net::Listener>(loop, settings.listen, [this](int fd) { accepted(fd); })) {}
+
+Server::~Server() { cut(); }
+
+void Server::accepted(int fd) {
+  if (draining_ || clients_.size() >= settings_.most_clients) {
+    ++refused_;
+    ::close(fd);
+    return;
+  }
+  auto client = std::make_shared<Client>(*this, fd);
+  clients_.insert(client);
+  client->start();
+}
+
+void Server::drain() {
+  draining_ = true;
+  listener_->pause(true);
+  close_idle(0);
+}
+
+void Server::close_idle(std::size_t left) {
+  auto clients = clients_;
+  for (auto& client : clients)
+    if (clients_.size() > left) client->close_if_idle();
+}
+
+void Server::cut() {
+  auto clients = clients_;
+  for (auto& client : clients) client->leave(true);
+}
+
+Response text_answer(int status, std::string_view text) {
+  Response response;
+  response.status = status;
+  response.headers.add("Content-Type", "text/plain; charset=utf-8");
+  response.body = text;
+  return response;
+}
+
+Response json_answer(int status, std::string body) {
+  Response response;
+  response.status = status;
+  response.headers.add("Content-Type", "application/json");
+  response.body = std::move(body);
+  return response;
+}
+
+}  // namespace robinhoist::http
--- /dev/null
+++ b/src/http/server.h
@@ -0,0 +1,92 @@
+// An HTTP/1.1 server on a Loop. Each request goes to the handler as an Exchange, which is answered now or
+// later, once; answers leave in the order of the requests. A client that sends what is no request gets one
+// clear answer and a closed connection.
+#pragma once
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+
+#include "http/message.h"
+#include "net/stream.h"
+
+namespace robinhoist::http {
+
+struct ServerSettings {
+  std::string listen{"127.0.0.1:0"};
+  Limits limits{};
+  std::size_t most_clients = 10000;
+  net::Span head_within = std::chrono::seconds(10);  // for a request to have come whole, once begun
+  net::Span idle_for = std::chrono::seconds(60);     // between two requests
+  std::size_t stream_backlog = 256 * 1024;           // bytes unread by a client of a stream before it is cut
+};
+
+class Server;
+class Client;
+
+// One request and its answer. Holding it costs nothing but memory; dropping it unanswered answers 500.
+class Exchange {
+ public:
+  Exchange(std::weak_ptr<Client> client, Request request, net::Span at)
+      : request(std::move(request)), at(at), client_(std::move(client)) {}
+  ~Exchange();
+  void answer(Response response);
+  // Closes the connection without an answer, as one that broke.
+  void hang_up();
+  // A stream of pieces in place of one answer; ends with end() or when the client goes or reads too slowly.
+  void begin_stream(Response head);
+  bool write(std::string_view piece);  // false: cut, for the client was too slow, or gone
+  void end(std::string_view last = {});
+  std::size_t unwritten() const;
+  bool answered() const { return answered_; }
+  bool gone() const { return client_.expired(); }
+
+  Request request;
+  net::Span at;                     // when it had come whole
+  std::function<void()> on_gone{};  // the client has left before the answer, or the stream has ended
+  void* user = nullptr;
+
+ private:
+  friend class Client;
+  std::weak_ptr<Client> client_;
+  bool answered_ = false, streaming_ = false;
+};
+using ExchangePtr = std::shared_ptr<Exchange>;
+
+class Server {
+ public:
+  using Handler = std::function<void(const ExchangePtr&)>;
+  Server(net::Loop& loop, const ServerSettings& settings, Handler handler);
+  ~Server();
+  int port() const { return listener_->port(); }
+  std::size_t clients() const { return clients_.size(); }
+  long starved() const { return listener_->starved(); }
+  long refused() const { return refused_; }
+  // Takes no new clients; those it has are closed once they have no request open.
+  void drain();
+  // Takes none for a while, or again.
+  void pause(bool on) { listener_->pause(on); }
+  // From here on takes no more clients than this.
+  void most(std::size_t clients) { settings_.most_clients = clients; }
+  // Closes clients without an open request until so many are left, as far as there are such.
+  void close_idle(std::size_t left);
+  // Breaks every connection at once.
+  void cut();
+
+ private:
+  friend class Client;
+  void accepted(int fd);
+  net::Loop& loop_;
+  ServerSettings settings_;
+  Handler handler_;
+  std::unique_ptr<net::Listener> listener_;
+  std::set<std::shared_ptr<Client>> clients_{};
+  long refused_ = 0;
+  bool draining_ = false;
+};
+
+// Plain answers that every part gives alike.
+Response text_answer(int status, std::string_view text);
+Response json_answer(int status, std::string body);
+
+}  // namespace robinhoist::http
--- /dev/null
+++ b/src/list/service.h
@@ -0,0 +1,52 @@
+// The list of nodes over HTTP: nodes are put and removed, umpires ask for what has changed and wait for it.
+//   GET    /v1/nodes?series=S&since=V&wait_ms=N&umpire=NAME   the changes since V, or the whole list
+//   PUT    /v1/nodes       one node as JSON
+//   DELETE /v1/nodes/NAME
+// What is put can be told later than it came, for trying out how umpires bear a list that lags.
+#pragma once
+#include <functional>
+#include <list>
+
+#include "http/server.h"
+#include "list/registry.h"
+
+namespace robinhoist::list {
+
+class Service {
+ public:
+  // Called with each answer that leaves for an umpire.
+  using Told = std::function<void(const std::string& umpire, const News& news)>;
+  Service(net::Loop& loop, const http::ServerSettings& server, const std::string& series, Told told = {});
+  ~Service();
+
+  void put(const Entry& entry);
+  void phase(const std::string& name, NodePhase phase);
+  void remove(const std::string& name);
+  // From here on what is put is told so much later.
+  void told_after(net::Span lag) { lag_ = lag; }
+  int port() const { return server_->port(); }
+  const Registry& registry() const { return registry_; }
+
+ private:
+  struct Waiting {
+    http::ExchangePtr exchange;
+    std::string umpire, series;
+    std::int64_t since;
+    net::Loop::Timer timer = net::Loop::no_timer;
+  };
+  void handle(const http::ExchangePtr& exchange);
+  void ask(const http::ExchangePtr& exchange);
+  void answer(Waiting& waiting);
+  void later(std::function<bool()> change);
+  void wake();
+
+  net::Loop& loop_;
+  Registry registry_;
+  Told told_;
+  net::Span lag_{}, last_due_{};
+  std::list<Waiting> waiting_{};
+  net::Loop::Timer wake_ = net::Loop::no_timer;
+  std::unique_ptr<http::Server> server_;
+};
+
+}  // namespace robinhoist::list
--- /dev/null
+++ b/src/net/loop.h
@@ -0,0 +1,91 @@
+// One thread's event loop: POCO's SocketReactor for sockets, a timerfd for timers (the reactor's own
+// time-outs are whole milliseconds and fire only when nothing else happens), an eventfd for work from other
+// threads. Everything but post() and now() belongs to the loop's thread.
+#pragma once
+#include <Poco/Net/SocketNotification.h>
+#include <Poco/Net/SocketReactor.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Observer.h>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+namespace robinhoist::net {
+
+using Span = std::chrono::microseconds;
+
+// Time on this machine's steady clock, the same in every process; `epoch` is taken off by whoever wants spans
+// since a start.
+Span steady_now();
+// Time since 1970, for what crosses machines.
+Span wall_now();
+
+class Loop;
+
+// Something with a file descriptor that the loop reads; the callback runs whenever it is readable.
+class Watched {
+ public:
+  Watched(Loop& loop, int fd, std::function<void()> readable);
+  ~Watched();
+  Watched(const Watched&) = delete;
+  Watched& operator=(const Watched&) = delete;
+  // Off: the descriptor stays open, but nothing is heard of it.
+  void listen(bool on);
+
+ private:
+  void on_readable(Poco::Net::ReadableNotification* notice);
+  Loop& loop_;
+  Poco::Net::StreamSocket socket_;
+  std::function<void()> readable_;
+  bool on_ = false;
+};
+
+class Loop : public Poco::Net::SocketReactor {
+ public:
+  using Task = std::function<void()>;
+  using Timer = std::pair<Span, std::uint64_t>;  // when, and which
+  static constexpr Timer no_timer{Span{}, 0};
+
+  explicit Loop(Span epoch = Span{});
+  ~Loop() override;
+
+  Span now() const { return steady_now() - epoch_; }
+  Span epoch() const { return epoch_; }
+  Timer at(Span when, Task task);
+  Timer in(Span wait, Task task) { return at(now() + wait, std::move(task)); }
+  void cancel(Timer& timer);
+  // From any thread: runs on the loop's thread, in order.
+  void post(Task task);
+  // From any thread: ends run() soon.
+  void quit();
+  // From any thread but the loop's: runs there and waits until it is done.
+  void call(const Task& task);
+
+  // How late timers ran, for measurements: the last few thousand, in microseconds.
+  const std::vector<std::int32_t>& lateness() const { return lateness_; }
+  std::size_t timers() const { return tasks_.size(); }
+
+ private:
+  void on_timer();
+  void on_posted();
+  void arm();
+
+  Span epoch_;
+  int timer_fd_, event_fd_;
+  std::map<Timer, Task> tasks_{};
+  std::uint64_t next_id_ = 1;
+  Span armed_{};
+  std::mutex mutex_{};
+  std::vector<Task> posted_{};
+  std::vector<std::int32_t> lateness_{};
+  std::size_t lateness_at_ = 0;
+  std::unique_ptr<Watched> timer_, event_;
+};
+
+}  // namespace robinhoist::net
--- /dev/null
+++ b/src/record/record.cpp
@@ -0,0 +1,42 @@
+#include "record/record.h"
+
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+
+namespace robinhoist::record {
+
+Writer::Writer(const std::string& file) : file_(std::fopen(file.c_str(), "we")) {
+  if (!file_) throw std::runtime_error("can't write " + file + ": " + std::strerror(errno));
+}
+
+Writer::~Writer() { std::fclose(file_); }
+
+void Writer::line(const std::string& json) {
+  std::lock_guard lock(mutex_);
+  std::fwrite(json.data(), 1, json.size(), file_);
+  std::fputc('\n', file_);
+}
+
+void Writer::flush() {
+  std::lock_guard lock(mutex_);
+  std::fflush(file_);
+}
+
+int read(const std::string& file, const std::function<void(const json::Json&)>& line) {
+  std::ifstream in(file);
+  if (!in) throw json::BadInput(file + ": can't be read");
+  std::string text;
+  for (long number = 1; std::getline(in, text); ++number) {
+    const bool last = in.eof();  // no line end: cut short
+    try {
+      line(json::object_of(text));
+    } catch (const json::BadInput& bad) {
+      if (last) return 1;
+      throw json::BadInput(file + ":" + std::to_string(number) + ": " + bad.what());
+    }
+  }
+  return 0;
+}
+
+}  // namespace robinhoist::record
--- /dev/null
+++ b/src/retry/backoff.h
@@ -0,0 +1,28 @@
+// Pauses between tries: they double from the least to the most, each cut by a random part so that many who
+// failed together do not come back together ("full jitter" keeps half here). Free of clocks.
+#pragma once
+#include <algorithm>
+#include <chrono>
+#include <random>
+
+namespace robinhoist::retry {
+
+using Span = std::chrono::microseconds;
+
+class Backoff {
+ public:
+  Backoff(Span least, Span most, unsigned salt) : least_(least), most_(most), next_(least), chance_(salt) {}
+  Span failed() {
+    const Span whole = next_;
+    next_ = std::min(2 * next_, most_);
+    const double part = std::uniform_real_distribution<double>(0.5, 1)(chance_);
+    return Span(static_cast<std::int64_t>(static_cast<double>(whole.count()) * part));
+  }
+  void worked() { next_ = least_; }
+
+ private:
+  Span least_, most_, next_;
+  std::minstd_rand chance_;
+};
+
+}  // namespace robinhoist::retry
--- /dev/null
+++ b/src/rollout/rollout.cpp
@@ -0,0 +1,292 @@
+#include "rollout/rollout.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace robinhoist::rollout {
+namespace {
+double seconds(Span s) { return std::chrono::duration<double>(s).count(); }
+constexpr std::size_t changes_kept = 1000;
+}  // namespace
+
+Rollout::Rollout(const Settings& settings, int places, int build, int umpires)
+    : settings_(settings), places_(places), baseline_(build), umpires_(umpires), build_(build),
+      newest_offered_(build), next_machine_(places) {
+  for (int place = 0; place < places; ++place)
+    machines_[place] = Machine{place, build, MachinePhase::ordered, Span{}};
+  for (int place = 0; place < places; ++place) orders_.push_back({OrderKind::start, place, place, build});
+  tokens_ = 2 * settings_.calls_per_s;
+}
+
+int Rollout::needed(double share, int umpires) {
+  return std::max(1, static_cast<int>(std::ceil(share * umpires - 1e-9)));
+}
+
+bool Rollout::gate(int stage) const {
+  auto at = gates_.find(stage);
+  return at == gates_.end() || at->second;
+}
+
+int Rollout::target(int stage) const {
+  return std::clamp(static_cast<int>(std::ceil(settings_.waves[stage] * places_ - 1e-9)), 1, places_);
+}
+
+int Rollout::running(int build, bool up_only) const {
+  return static_cast<int>(std::count_if(machines_.begin(), machines_.end(), [&](auto& m) {
+    return m.second.build == build &&
+           (m.second.phase == MachinePhase::up || (!up_only && m.second.phase == MachinePhase::ordered));
+  }));
+}
+
+RelNews Rollout::news(Span now) const {
+  double cap = phase_ == RelPhase::released          ? 1
+               : phase_ == RelPhase::trial && begun_ ? settings_.caps[stage_]
+                                                     : 0;
+  return {build_, stage_, phase_, cap, now - phase_at_};
+}
+
+std::map<std::string, Vote> Rollout::votes(Span now) const {
+  std::map<std::string, Vote> standing;
+  for (auto& [name, vote] : votes_)
+    if (vote.until > now && vote.build == build_) standing.emplace(name, vote);
+  return standing;
+}
+
+// A vote for on or hold counts for its stage alone, one for back for the release.
+int Rollout::standing(Verdict verdict, Span now) const {
+  return static_cast<int>(std::count_if(votes_.begin(), votes_.end(), [&](auto& v) {
+    return v.second.verdict == verdict && v.second.build == build_ && v.second.until > now &&
+           (verdict == Verdict::back || v.second.stage == stage_);
+  }));
+}
+
+bool Rollout::held(Span now) const {
+  if (phase_ != RelPhase::trial) return false;
+  return operator_holds_ ||
+         (settings_.gate == Gate::clock && standing(Verdict::hold, now) >= needed(settings_.to_hold));
+}
+
+void Rollout::enter(RelPhase phase, int stage, const std::string& why, Span now) {
+  phase_ = phase;
+  stage_ = stage;
+  phase_at_ = now;
+  clock_at_ = long_ago;
+  held_for_ = Span{};
+  ++version_;
+  if (changes_.size() >= changes_kept) changes_.erase(changes_.begin());
+  changes_.push_back({now, build_, stage, phase, why});
+}
+
+std::optional<std::string> Rollout::offer(int build, Span now) {
+  if (build <= newest_offered_)
+    return "build " + std::to_string(build) + " is not newer than " + std::to_string(newest_offered_);
+  newest_offered_ = build;
+  if (phase_ == RelPhase::trial) go_back("the next build is offered", now);
+  queued_ = build;
+  return {};
+}
+
+void Rollout::machine_up(int id, Span now) {
+  auto at = machines_.find(id);
+  if (at == machines_.end() || at->second.phase != MachinePhase::ordered) return;
+  at->second.phase = MachinePhase::up;
+  at->second.since = now;
+}
+
+void Rollout::machine_gone(int id, Span now) {
+  auto at = machines_.find(id);
+  if (at == machines_.end()) return;
+  Machine& machine = at->second;
+  if (machine.phase == MachinePhase::draining) machine.phase = MachinePhase::gone;
+  else if (machine.phase == MachinePhase::up) machine.phase = MachinePhase::ordered;
+  machine.since = now;
+  if (machine.phase == MachinePhase::gone) machines_.erase(at);
+}
+
+Outcome Rollout::vote(const std::string& umpire, int build, int stage, Verdict verdict, Span now) {
+  tokens_ = std::min(2 * settings_.calls_per_s, tokens_ + seconds(now - tokens_at_) * settings_.calls_per_s);
+  tokens_at_ = now;
+  if (tokens_ < 1) return Outcome::full;
+  tokens_ -= 1;
+  if (build != build_) return Outcome::moot;
+  const bool trial = phase_ == RelPhase::trial;
+  switch (verdict) {
+    case Verdict::on:
+      if (!trial || stage != stage_ || settings_.gate == Gate::clock) return Outcome::moot;
+      break;
+    case Verdict::hold:
+      if (!trial || stage != stage_ || settings_.gate != Gate::clock) return Outcome::moot;
+      break;
+    case Verdict::back:
+      // A release that is out can be sent back until the next is offered.
+      if (!(trial || (phase_ == RelPhase::released && build != baseline_ && !queued_))) return Outcome::moot;
+      break;
+    case Verdict::none:
+      break;
+  }
+  votes_[umpire] = Vote{build, stage, verdict, now + settings_.vote_life};
+  return Outcome::ok;
+}
+
+bool Rollout::hold(bool on, const std::string& why, Span now) {
+  if (phase_ != RelPhase::trial || operator_holds_ == on) return false;
+  operator_holds_ = on;
+  changes_.push_back({now, build_, stage_, phase_, (on ? "held: " : "resumed: ") + why});
+  ++version_;
+  return true;
+}
+
+bool Rollout::back(const std::string& why, Span now) {
+  if (phase_ != RelPhase::trial && !(phase_ == RelPhase::released && build_ != baseline_)) return false;
+  go_back(why, now);
+  return true;
+}
+
+void Rollout::want(int place, int build, Span now) {
+  int id = next_machine_++;
+  machines_[id] = Machine{place, build, MachinePhase::ordered, now};
+  orders_.push_back({OrderKind::start, id, place, build});
+}
+
+void Rollout::begin_stage(Span now) {
+  begun_ = true;
+  ordered_at_ = now;
+  std::vector<bool> taken(places_, false);
+  int have = 0;
+  for (auto& [id, machine] : machines_)
+    if (machine.build == build_ && machine.phase <= MachinePhase::up) {
+      taken[machine.place] = true;
+      ++have;
+    }
+  // Spread over the places, so that zones get their part.
+  const int wanted = target(stage_);
+  for (int i = 0; have < wanted && i < places_; ++i) {
+    int place = static_cast<int>((static_cast<long>(i) * 7 + 3) % places_);
+    for (int tries = 0; taken[place] && tries < places_; ++tries) place = (place + 1) % places_;
+    if (taken[place]) break;
+    taken[place] = true;
+    ++have;
+    want(place, build_, now);
+  }
+}
+
+void Rollout::go_back(const std::string& why, Span now) {
+  operator_holds_ = false;
+  enter(RelPhase::going_back, stage_, why, now);
+  // Where the earlier machines have gone new ones are started first.
+  std::vector<bool> served(places_, false);
+  for (auto& [id, machine] : machines_)
+    if (machine.build == baseline_ && machine.phase <= MachinePhase::up) served[machine.place] = true;
+  for (int place = 0; place < places_; ++place)
+    if (!served[place]) want(place, baseline_, now);
+}
+
+// Deciding what follows from what is known; orders queue up behind it.
+void Rollout::tick(Span now) {
+  if (phase_ == RelPhase::trial) {
+    const Span passed = std::max(Span{}, now - ticked_at_);
+    if (begun_ && held(now) && clock_at_ != long_ago) held_for_ += std::min(passed, now - clock_at_);
+    ticked_at_ = now;
+    if (standing(Verdict::back, now) >= needed(settings_.to_revert)) {
+      go_back(std::to_string(standing(Verdict::back, now)) + " of " + std::to_string(umpires_) + " umpires",
+              now);
+    } else if (!begun_) {
+      if (gate(stage_)) {
+        begin_stage(now);
+        ++version_;
+      }
+    } else if (clock_at_ == long_ago) {
+      const bool all_up = running(build_, true) >= target(stage_);
+      Span latest{};
+      for (auto& [id, machine] : machines_)
+        if (machine.build == build_) latest = std::max(latest, machine.since);
+      if ((all_up && now >= latest + settings_.settle) || now >= ordered_at_ + settings_.launch_most)
+        clock_at_ = now;
+    } else {
+      const bool baked = now >= clock_at_ + settings_.bake;
+      const bool moves =
+          settings_.gate == Gate::clock
+              ? !held(now) && baked && now >= clock_at_ + settings_.step + held_for_
+              : !operator_holds_ && baked &&
+                    standing(Verdict::on, now) >=
+                        (settings_.gate == Gate::first_vote ? 1 : needed(settings_.to_advance));
+      const bool last = stage_ + 1 >= static_cast<int>(settings_.waves.size());
+      // The wave before goes on until the steps of the next are done.
+      if (moves && !last && gate(stage_ + 1)) {
+        enter(RelPhase::trial, stage_ + 1, settings_.gate == Gate::clock ? "by the clock" : "by votes", now);
+        begun_ = false;
+        tick(now);
+      } else if (moves && last) {
+        enter(RelPhase::released, stage_, "the last wave is over", now);
+      }
+    }
+  } else if (phase_ == RelPhase::released && build_ != baseline_ &&
+             standing(Verdict::back, now) >= needed(settings_.to_revert) && !queued_) {
+    go_back(std::to_string(standing(Verdict::back, now)) + " of " + std::to_string(umpires_) +
+                " umpires, after the release",
+            now);
+  }
+  if (phase_ == RelPhase::going_back) {
+    const bool earlier_serve =
+        running(baseline_, true) >= places_ || now >= phase_at_ + settings_.launch_most;
+    bool left = false;
+    for (auto& [id, machine] : machines_) {
+      if (machine.build != build_) continue;
+      left = true;
+      if (earlier_serve && machine.phase <= MachinePhase::up) {
+        machine.phase = MachinePhase::draining;
+        machine.since = now;
+        orders_.push_back({OrderKind::drain, id, machine.place, machine.build});
+      }
+    }
+    if (!left) enter(RelPhase::withdrawn, stage_, "all its machines are gone", now);
+  }
+  // Earlier machines make place: each for its successor, or all once the release is out.
+  if (phase_ == RelPhase::released || (phase_ == RelPhase::trial && settings_.in_place)) {
+    std::vector<bool> succeeded(places_, false);
+    for (auto& [id, machine] : machines_)
+      if (machine.build == build_ && machine.phase == MachinePhase::up) succeeded[machine.place] = true;
+    for (auto& [id, machine] : machines_) {
+      if (machine.build == build_ || machine.phase >= MachinePhase::draining || !succeeded[machine.place])
+        continue;
+      machine.phase = MachinePhase::draining;
+      machine.since = now;
+      orders_.push_back({OrderKind::drain, id, machine.place, machine.build});
+    }
+  }
+  for (auto& [id, machine] : machines_)
+    if (machine.phase == MachinePhase::draining && now >= machine.since + settings_.drain) {
+      machine.since = now + std::chrono::hours(1000);  // told once
+      orders_.push_back({OrderKind::stop, id, machine.place, machine.build});
+    }
+  if (queued_ && (phase_ == RelPhase::released || phase_ == RelPhase::withdrawn)) {
+    if (phase_ == RelPhase::released) baseline_ = build_;
+    build_ = *queued_;
+    queued_.reset();
+    votes_.clear();
+    gates_.clear();
+    operator_holds_ = false;
+    begun_ = false;
+    enter(RelPhase::trial, 0, "offered", now);
+    ticked_at_ = now;
+    tick(now);
+  }
+}
+
+std::optional<Order> Rollout::next(Span now) {
+  if (orders_.empty()) tick(now);
+  if (orders_.empty()) return {};
+  Order order = orders_.front();
+  orders_.pop_front();
+  return order;
+}
+
+std::optional<Span> Rollout::next_look(Span now) const {
+  const bool drains = std::any_of(machines_.begin(), machines_.end(),
+                                  [](auto& m) { return m.second.phase == MachinePhase::draining; });
+  if (phase_ != RelPhase::trial && phase_ != RelPhase::going_back && !drains && !queued_ && orders_.empty())
+    return {};
+  return now + std::chrono::milliseconds(50);
+}
+
+}  // namespace robinhoist::rollout
--- /dev/null
+++ b/src/rollout/rollout.h
@@ -0,0 +1,127 @@
+// The core of the release controller: one release at a time goes through its waves over the fleet's places,
+// moved by a clock or by umpires' votes, and back when enough of them say so. Free of I/O and clocks: inputs
+// note what is known, next(now) hands out one order at a time until there is none.
+#pragma once
+#include <chrono>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "state.h"
+
+namespace robinhoist::rollout {
+
+// What moves a wave on, and how much of the fleet each holds. Shares are of the fleet's places or of all
+// umpires; a threshold is one umpire at least.
+struct Settings {
+  std::vector<double> waves{};  // share of the places that run the release
+  std::vector<double> caps{};   // for each wave: the share of an umpire's txns that may go to the release
+  Gate gate = Gate::clock;
+  Span bake{};         // a wave lasts so long at least, from its clock's start
+  Span step{};         // under the clock: a wave's time, holds apart
+  Span settle{};       // the clock starts so long after the wave's machines all run,
+  Span launch_most{};  // and so long after they were ordered at the latest
+  Span drain{};        // a machine that drains is stopped after this
+  Span vote_life{};
+  double to_advance = 0, to_hold = 0, to_revert = 0;  // shares of all umpires
+  double calls_per_s = 0;                             // votes taken from all; twice as many in a burst
+  bool in_place = false;  // each earlier machine drains once its successor runs; else all at the release
+};
+
+enum class MachinePhase { ordered, up, draining, gone };
+
+struct Machine {
+  int place, build;
+  MachinePhase phase;
+  Span since;
+};
+
+enum class OrderKind { start, drain, stop };
+struct Order {
+  OrderKind kind;
+  int machine;
+  int place, build;
+};
+
+struct Vote {
+  int build, stage;
+  Verdict verdict;
+  Span until;
+};
+
+// What became of a release and why, for whoever asks; one line for each change.
+struct Change {
+  Span at;
+  int build, stage;
+  RelPhase phase;
+  std::string why;
+};
+
+class Rollout {
+ public:
+  // The fleet starts with all places on `build`, machine ids being the places' numbers.
+  Rollout(const Settings& settings, int places, int build, int umpires);
+
+  // Inputs.
+  // Refused, with the reason, unless the build is newer than any offered so far.
+  std::optional<std::string> offer(int build, Span now);
+  void machine_up(int machine, Span now);
+  // It has ended: as ordered, or by itself. One that ended by itself is expected back under the same id.
+  void machine_gone(int machine, Span now);
+  // ok: it stands; moot: not the present build or stage, or no such verdict here; full: too many calls.
+  Outcome vote(const std::string& umpire, int build, int stage, Verdict verdict, Span now);
+  void umpires(int count) { umpires_ = count; }
+  // An operator's word stands above votes: held until resumed.
+  bool hold(bool on, const std::string& why, Span now);
+  bool back(const std::string& why, Span now);
+  // Steps that must be done first keep a wave from starting: asked through the gate, see next().
+  void gate_open(int stage, bool open) { gates_[stage] = open; }
+
+  // Decisions.
+  std::optional<Order> next(Span now);
+  std::optional<Span> next_look(Span now) const;
+
+  // What is known.
+  RelNews news(Span now) const;
+  int version() const { return version_; }  // grows with each change of news
+  const std::map<int, Machine>& machines() const { return machines_; }
+  const std::vector<Change>& changes() const { return changes_; }
+  std::map<std::string, Vote> votes(Span now) const;
+  bool held(Span now) const;
+  bool clock_runs() const { return clock_at_ != long_ago; }
+  int baseline() const { return baseline_; }
+  int needed(double share) const { return needed(share, umpires_); }
+  static int needed(double share, int umpires);  // votes, one at least
+
+ private:
+  int standing(Verdict verdict, Span now) const;
+  void enter(RelPhase phase, int stage, const std::string& why, Span now);
+  void want(int place, int build, Span now);
+  void tick(Span now);
+  void begin_stage(Span now);
+  void go_back(const std::string& why, Span now);
+  int running(int build, bool up_only) const;
+  int target(int stage) const;
+  bool gate(int stage) const;
+
+  Settings settings_;
+  int places_, baseline_, umpires_;
+  int build_ = -1, stage_ = 0;  // the release last offered; -1: none yet
+  RelPhase phase_ = RelPhase::released;
+  Span phase_at_{}, clock_at_ = long_ago, ordered_at_{}, held_for_{}, ticked_at_{};
+  bool operator_holds_ = false, begun_ = false;
+  std::optional<int> queued_{};
+  int newest_offered_, next_machine_;
+  std::map<int, Machine> machines_{};
+  std::deque<Order> orders_{};
+  std::map<std::string, Vote> votes_{};
+  std::map<int, bool> gates_{};
+  std::vector<Change> changes_{};
+  double tokens_ = 0;
+  Span tokens_at_{};
+  int version_ = 1;
+};
+
+}  // namespace robinhoist::rollout
--- /dev/null
+++ b/src/settings/form.h
@@ -0,0 +1,104 @@
+// Settings and other files of the program, written as S-expressions: (key value ...) forms, `;` comments,
+// "quoted" text, spans such as 250ms, 1.5s or 2m. A Form is read key by key; what is wrong is gathered, each
+// with file, line, path of the key, the value and what is allowed, and thrown together by finish().
+// A top (include "other.conf") stands for the forms of that file, whose name is relative to its own.
+// sfsexp parses; it keeps no positions, so the lines come from a scan of the same text.
+#pragma once
+#include <chrono>
+#include <initializer_list>
+#include <memory>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace robinhoist::settings {
+
+using Span = std::chrono::microseconds;
+
+struct Value {
+  int line = 0, file = 0;  // file: its place among the source's
+  bool list = false, quoted = false;
+  std::string atom{};
+  std::vector<Value> items{};
+};
+
+// All that is wrong with a file, one problem a line.
+struct Invalid : std::runtime_error {
+  Invalid(std::string text, int count) : std::runtime_error(std::move(text)), problems(count) {}
+  int problems;
+};
+
+struct Source {
+  std::vector<std::string> files{};
+  std::vector<std::string> problems{};
+};
+
+class Form {
+ public:
+  // The file's forms as one form; throws Invalid when the text does not parse or the file can't be read.
+  static Form of_file(const std::string& file);
+  static Form of_text(const std::string& text, const std::string& name);
+
+  // Each reads (key value), once. Without `absent` the key must be there.
+  std::string text(const char* key, std::optional<std::string> absent = {});
+  double number(const char* key, double least, double most, std::optional<double> absent = {});
+  int whole(const char* key, int least, int most, std::optional<int> absent = {});
+  Span span(const char* key, Span least, Span most, std::optional<Span> absent = {});
+  bool truth(const char* key, std::optional<bool> absent = {});
+  std::vector<double> numbers(const char* key, double least, double most, std::size_t least_count);
+  template <class T>
+  T word(const char* key, std::initializer_list<std::pair<const char*, T>> words,
+         std::optional<T> absent = {}) {
+    std::string allowed;
+    const Value* value = one(key, !absent);
+    if (!value) return absent.value_or(words.begin()->second);
+    for (auto& [name, meant] : words) {
+      if (value->atom == name) return meant;
+      allowed += (allowed.empty() ? "" : ", ") + std::string(name);
+    }
+    wrong(*value, key, "one of " + allowed);
+    return words.begin()->second;
+  }
+
+  // The one form (key ...), or each of those with that key; the words straight after the key are `name(i)`.
+  Form sub(const char* key);
+  std::optional<Form> maybe(const char* key);
+  std::vector<Form> each(const char* key, std::size_t least_count = 0);
+  // The form's own words, those that are no (key value) forms: (node a1 ...) has word 0 "a1".
+  std::string own_word(std::size_t index, const char* what);
+  std::size_t own_words() const;
+  // All forms in their order, as (key, form); for notations where order matters.
+  std::vector<std::pair<std::string, Form>> in_order();
+
+  // Something that only the caller can see to be wrong, such as two settings at odds.
+  void problem(const std::string& what) const;
+  void problem(const char* key, const std::string& what) const;
+  int line() const { return value_->line; }
+  bool has(const char* key) const;
+  // Reports keys that nobody asked for. Called on the file's form it throws what was gathered.
+  void finish();
+
+ private:
+  Form(std::shared_ptr<Value> root, const Value* value, std::shared_ptr<Source> source, std::string path,
+       bool top);
+  const Value* one(const char* key, bool needed);
+  const Value* scalar(const char* key, bool needed);
+  void wrong(const Value& at, const std::string& key, const std::string& allowed) const;
+  void report(const Value& at, const std::string& path, const std::string& what) const;
+  Form inner(const Value* value, const std::string& path);
+
+  std::shared_ptr<Value> root_;
+  const Value* value_;
+  std::shared_ptr<Source> source_;
+  std::string path_;
+  bool top_;
+  std::vector<std::string> asked_{};
+};
+
+// 250ms, 1.5s, 2m, 1h, 40us; nothing when it is none.
+std::optional<Span> span_of(const std::string& word);
+std::optional<double> number_of(const std::string& word);
+
+}  // namespace robinhoist::settings
--- /dev/null
+++ b/src/standin/agent.h
@@ -0,0 +1,27 @@
+// A process of stand-in nodes: started from settings, or as a controller orders; each is put on the list.
+#pragma once
+#include <string>
+#include <vector>
+
+#include "standin/nodes.h"
+
+namespace robinhoist::standin {
+
+struct Settings {
+  std::string list{}, orders_from{};  // addresses; without orders `build` runs on all nodes
+  int nodes = 1, first_port = 0;      // 0: any ports
+  Span boot{};
+  machine::Capacity capacity{};
+  std::vector<machine::Build> builds{};
+  Shared shared{};
+  deployment::Deployment deployment{};
+};
+
+Settings read(settings::Form root);
+// Keys of a (capacity ...) and a (build N ...) form, as days use them too.
+machine::Capacity read_capacity(settings::Form form, const deployment::Deployment& deployment);
+machine::Build read_build(settings::Form form, const deployment::Deployment& deployment);
+
+int run(const Settings& settings);
+
+}  // namespace robinhoist::standin
--- /dev/null
+++ b/src/standin/nodes.cpp
@@ -0,0 +1,275 @@
+#include "standin/nodes.h"
+
+#include <cstdio>
+#include <unordered_map>
+
+namespace robinhoist::standin {
+namespace {
+using namespace std::chrono_literals;
+}  // namespace
+
+struct Nodes::Node {
+  Node(const NodeSpec& given, unsigned salt, Span started, machine::Marks* marks,
+       const machine::SharedHarm* harm)
+      : spec(given), machine(given.capacity, given.build, salt, started, marks, harm) {}
+  struct Open {
+    http::ExchangePtr exchange;
+    int product;
+  };
+  NodeSpec spec;
+  machine::Machine machine;
+  std::unique_ptr<http::Server> server{};
+  std::unordered_map<std::int64_t, Open> open{};
+  net::Loop::Timer timer = net::Loop::no_timer;
+  bool silent = false;
+  double probes_fail = 0, lost = 0;
+  std::size_t connections = 0;  // that it takes; 0: as many as come
+  Span link{}, handshake{};
+};
+
+Nodes::Nodes(net::Loop& loop, const deployment::Deployment& deployment, const Shared& shared, unsigned salt,
+             record::Writer* record)
+    : loop_(loop), deployment_(deployment), shared_(shared), chance_(salt), record_(record),
+      marks_(shared.memory) {}
+
+Nodes::~Nodes() {
+  while (!nodes_.empty()) kill(nodes_.begin()->first);
+}
+
+int Nodes::start(const NodeSpec& spec) {
+  if (runs(spec.name)) kill(spec.name);
+  const Span started = spec.cold ? loop_.now() : long_ago;
+  auto node = std::make_unique<Node>(spec, static_cast<unsigned>(chance_()), started, &marks_, &harm_);
+  http::ServerSettings settings;
+  settings.listen = spec.listen;
+  settings.most_clients = shared_.most_clients;
+  node->server = std::make_unique<http::Server>(
+      loop_, settings, [this, at = node.get()](const http::ExchangePtr& exchange) { handle(*at, exchange); });
+  int port = node->server->port();
+  if (record_)
+    record_->line(json::Out()
+                      .open()
+                      .put("t", static_cast<long>(loop_.now().count()))
+                      .put("e", "start")
+                      .put("node", spec.name)
+                      .put("build", spec.build.number)
+                      .put("cold", spec.cold)
+                      .put("cores", spec.capacity.cores)
+                      .put("speed", spec.capacity.speed)
+                      .close()
+                      .text());
+  nodes_[spec.name] = std::move(node);
+  return port;
+}
+
+void Nodes::kill(const std::string& name) {
+  auto at = nodes_.find(name);
+  if (at == nodes_.end()) return;
+  Node& node = *at->second;
+  loop_.cancel(node.timer);
+  for (auto& [id, open] : node.open) open.exchange->on_gone = nullptr;
+  node.open.clear();
+  node.server.reset();
+  if (record_)
+    record_->line(json::Out()
+                      .open()
+                      .put("t", static_cast<long>(loop_.now().count()))
+                      .put("e", "stop")
+                      .put("node", name)
+                      .put("most_pushed", node.machine.most_pushed())
+                      .put("fell", node.machine.fallen())
+                      .close()
+                      .text());
+  figures_.most_pushed = std::max(figures_.most_pushed, node.machine.most_pushed());
+  nodes_.erase(at);
+}
+
+void Nodes::silence(const std::string& name) {
+  if (!runs(name)) return;
+  Node& node = *nodes_[name];
+  node.silent = true;
+  loop_.cancel(node.timer);
+}
+
+void Nodes::slow(const std::string& name, double times) {
+  if (runs(name)) nodes_[name]->machine.slowed(times);
+}
+void Nodes::fail(const std::string& name, double share) {
+  if (runs(name)) nodes_[name]->machine.failing(share);
+}
+void Nodes::neighbour(const std::string& name, double share) {
+  if (runs(name)) nodes_[name]->machine.neighbour(share);
+}
+void Nodes::squeeze(const std::string& name, std::size_t connections) {
+  if (!runs(name)) return;
+  nodes_[name]->connections = connections;
+  if (connections > 0 && nodes_[name]->server->clients() > connections)
+    nodes_[name]->server->close_idle(connections);
+  nodes_[name]->server->most(connections > 0 ? connections : shared_.most_clients);
+}
+void Nodes::slow_handshake(const std::string& name, Span by) {
+  if (runs(name)) nodes_[name]->handshake = by;
+}
+void Nodes::fail_probes(const std::string& name, double share) {
+  if (runs(name)) nodes_[name]->probes_fail = share;
+}
+void Nodes::slow_link(const std::string& name, Span by, double lost) {
+  if (!runs(name)) return;
+  nodes_[name]->link = by;
+  nodes_[name]->lost = lost;
+}
+
+void Nodes::note(const Node& node, const char* what, const http::Request& request, int product,
+                 std::int64_t id) {
+  if (!record_) return;
+  record_->line(json::Out()
+                    .open()
+                    .put("t", static_cast<long>(loop_.now().count()))
+                    .put("e", what)
+                    .put("node", node.spec.name)
+                    .put("build", node.spec.build.number)
+                    .put("id", static_cast<long>(id))
+                    .put("product", product)
+                    .put("txn", request.headers.get("Robinhoist-Txn"))
+                    .put("submission", request.headers.get("Robinhoist-Submission"))
+                    .put("try", request.headers.get("X-Try"))
+                    .put("key", request.headers.get("Idempotency-Key"))
+                    .put("work", request.headers.get("X-Work-Us"))
+                    .close()
+                    .text());
+}
+
+void Nodes::handle(Node& node, const http::ExchangePtr& exchange) {
+  if (node.silent) {
+    // Kept and never answered.
+    node.open[next_id_++] = {exchange, -1};
+    return;
+  }
+  const http::Request& request = exchange->request;
+  auto chance = [this] { return std::uniform_real_distribution<double>(0, 1)(chance_); };
+  if (request.path() == "/health") {
+    const bool well = node.probes_fail <= 0 || chance() >= node.probes_fail;
+    return exchange->answer(http::text_answer(well ? 200 : 503, well ? "well\n" : "not well\n"));
+  }
+  if (node.lost > 0 && chance() < node.lost) return exchange->hang_up();
+  const int product = deployment_.product_of(request.method, request.path());
+  if (product < 0) return exchange->answer(http::text_answer(404, "no such product\n"));
+  machine::Work work;
+  work.id = next_id_++;
+  work.product = product;
+  std::string_view said = request.headers.get("X-Work-Us");
+  auto us = said.empty() ? std::nullopt : settings::number_of(std::string(said));
+  work.work = us && *us >= 0                                    ? Span(static_cast<std::int64_t>(*us))
+              : product < static_cast<int>(shared_.work.size()) ? shared_.work[product]
+                                                                : Span(1ms);
+  const Effect effect = deployment_.products[product].product.effect;
+  work.effect = effect != Effect::inquiry;
+  if (effect == Effect::referenced) work.key = request.headers.get("Idempotency-Key");
+  const bool was_fallen = node.machine.fallen();
+  const machine::Entry entry = node.machine.arrive(work, loop_.now());
+  if (!was_fallen && node.machine.fallen()) {
+    ++figures_.fell;
+    note(node, "fell", request, product, work.id);
+  }
+  ++figures_.arrived;
+  lately_.emplace_back(loop_.now(), node.spec.build.number);
+  if (entry == machine::Entry::down) {
+    note(node, "down", request, product, work.id);
+    node.silent = true;  // for good
+    node.open[work.id] = {exchange, product};
+    return;
+  }
+  if (entry == machine::Entry::full) {
+    ++figures_.refused;
+    note(node, "refused", request, product, work.id);
+    http::Response full = http::text_answer(503, "no room\n");
+    full.headers.add("X-Not-Run", "1");
+    return exchange->answer(std::move(full));
+  }
+  note(node, "taken", request, product, work.id);
+  node.open[work.id] = {exchange, product};
+  exchange->on_gone = [this, at = &node, id = work.id] {
+    at->open.erase(id);
+    at->machine.called_off(id, shared_.cancelled != Cancelled::nothing, shared_.cancelled == Cancelled::all,
+                           loop_.now());
+    plan(*at);
+  };
+  plan(node);
+}
+
+void Nodes::plan(Node& node) {
+  loop_.cancel(node.timer);
+  if (node.silent) return;
+  if (auto at = node.machine.next_at()) node.timer = loop_.at(*at, [this, node = &node] { finish(*node); });
+}
+
+void Nodes::finish(Node& node) {
+  node.timer = net::Loop::no_timer;
+  while (auto done = node.machine.next(loop_.now())) {
+    ++figures_.ran;
+    figures_.effects += done->effect;
+    auto at = node.open.find(done->id);
+    const bool known = at != node.open.end();
+    if (record_)
+      record_->line(json::Out()
+                        .open()
+                        .put("t", static_cast<long>(loop_.now().count()))
+                        .put("e", "ran")
+                        .put("node", node.spec.name)
+                        .put("id", static_cast<long>(done->id))
+                        .put("how", done->how == machine::Ran::well     ? "well"
+                                    : done->how == machine::Ran::failed ? "failed"
+                                    : done->how == machine::Ran::wrong  ? "wrong"
+                                                                        : "repeat")
+                        .put("effect", done->effect)
+                        .close()
+                        .text());
+    if (!known) continue;  // nobody waits for it any more
+    Node::Open open = std::move(at->second);
+    node.open.erase(at);
+    open.exchange->on_gone = nullptr;
+    http::Response response =
+        done->how == machine::Ran::failed
+            ? http::json_answer(500, "{\"error\":\"failed\"}")
+            : http::json_answer(200, json::Out()
+                                         .open()
+                                         .put("product", deployment_.products[open.product].name)
+                                         .put("node", node.spec.name)
+                                         .put("build", node.spec.build.number)
+                                         .put("right", done->how != machine::Ran::wrong)
+                                         .close()
+                                         .text());
+    char load[96];
+    std::snprintf(load, sizeof load, "TEXT cpu_utilization=%.2f,named_metrics.held=%d", node.machine.busy(),
+                  node.machine.held());
+    response.headers.add("endpoint-load-metrics", load);
+    if (node.link > Span{}) {
+      loop_.in(node.link, [exchange = open.exchange, response] { exchange->answer(response); });
+    } else {
+      open.exchange->answer(std::move(response));
+    }
+  }
+  plan(node);
+}
+
+Nodes::Figures Nodes::figures() const {
+  Figures figures = figures_;
+  for (auto& [name, node] : nodes_)
+    figures.most_pushed = std::max(figures.most_pushed, node->machine.most_pushed());
+  return figures;
+}
+
+double Nodes::share_of_traffic(int build, Span window) {
+  while (!lately_.empty() && lately_.front().first < loop_.now() - window) lately_.pop_front();
+  double its = 0;
+  for (auto& [at, of] : lately_) its += of == build;
+  return lately_.empty() ? 0 : its / static_cast<double>(lately_.size());
+}
+
+std::vector<std::string> Nodes::names() const {
+  std::vector<std::string> names;
+  for (auto& [name, node] : nodes_) names.push_back(name);
+  return names;
+}
+
+}  // namespace robinhoist::standin
--- /dev/null
+++ b/src/standin/nodes.h
@@ -0,0 +1,89 @@
+// Stand-ins for the servers behind an umpire: HTTP servers on loopback, each doing what the machine model
+// says. Simulated machines, real sockets.
+#pragma once
+#include <map>
+#include <memory>
+#include <string>
+
+#include "deployment/deployment.h"
+#include "http/server.h"
+#include "machine/machine.h"
+#include "record/record.h"
+
+namespace robinhoist::standin {
+
+using net::Span;
+
+struct NodeSpec {
+  std::string name{}, zone{}, listen{"127.0.0.1:0"};
+  int cell = 0;
+  machine::Capacity capacity{};
+  machine::Build build{};
+  bool cold = true;
+};
+
+enum class Cancelled { nothing, queued, all };
+
+struct Shared {
+  Span memory{};             // for which the group drops repeats of a key
+  std::vector<Span> work{};  // by product, where a request does not say
+  Cancelled cancelled = Cancelled::nothing;
+  std::size_t most_clients = 10000;  // connections that a node takes
+};
+
+class Nodes {
+ public:
+  // `record` may be null. `reads` names what a build needs of its data: false makes it answer wrongly.
+  Nodes(net::Loop& loop, const deployment::Deployment& deployment, const Shared& shared, unsigned salt,
+        record::Writer* record);
+  ~Nodes();
+
+  // Listens from here on; returns its port.
+  int start(const NodeSpec& spec);
+  // Breaks all connections at once and is gone.
+  void kill(const std::string& name);
+  bool runs(const std::string& name) const { return nodes_.count(name) > 0; }
+  // Says nothing any more, takes connections and does nothing.
+  void silence(const std::string& name);
+  void slow(const std::string& name, double times);
+  void fail(const std::string& name, double share);
+  void neighbour(const std::string& name, double share);
+  // Takes only so many connections from here on, closing those beyond.
+  void squeeze(const std::string& name, std::size_t connections);
+  // New connections are answered so much later.
+  void slow_handshake(const std::string& name, Span by);
+  // Health calls fail though the node serves.
+  void fail_probes(const std::string& name, double share);
+  // Answers come so much later, or some share of them is lost with its connection.
+  void slow_link(const std::string& name, Span by, double lost);
+  void harm_all(double factor) { harm_.factor = factor; }
+
+  struct Figures {
+    long arrived = 0, refused = 0, ran = 0, effects = 0, fell = 0;
+    double most_pushed = 0;
+  };
+  Figures figures() const;
+  double share_of_traffic(int build, Span window);
+  std::vector<std::string> names() const;
+
+ private:
+  struct Node;
+  void handle(Node& node, const http::ExchangePtr& exchange);
+  void finish(Node& node);
+  void plan(Node& node);
+  void note(const Node& node, const char* what, const http::Request& request, int product, std::int64_t id);
+
+  net::Loop& loop_;
+  deployment::Deployment deployment_;
+  Shared shared_;
+  std::minstd_rand chance_;
+  record::Writer* record_;
+  machine::Marks marks_;
+  machine::SharedHarm harm_{};
+  std::map<std::string, std::unique_ptr<Node>> nodes_;
+  std::deque<std::pair<Span, int>> lately_{};
+  std::int64_t next_id_ = 1;
+  Figures figures_{};
+};
+
+}  // namespace robinhoist::standin
--- /dev/null
+++ b/src/umpire/process.cpp
@@ -0,0 +1,59 @@
+#include "umpire/process.h"
+
+#include <csignal>
+
+#include "json/fields.h"
+#include "net/signals.h"
+#include "umpire/router.h"
+
+namespace robinhoist::umpire {
+
+int run(const Settings& settings) {
+  log::Log log(settings.name, settings.log_level);
+  net::Loop loop(net::steady_now());
+  net::Signals signals(loop, {SIGTERM, SIGINT}, [&](int) { loop.quit(); });
+  std::signal(SIGPIPE, SIG_IGN);
+  HttpNodeSource nodes(loop, settings.list_from, settings.name, settings.salt, log);
+  HttpReleaseSource releases(loop, settings.releases_from, settings.name, settings.deployment.vote_timeout,
+                             settings.salt + 1, log);
+  Router router(loop, settings, log, nodes, releases);
+  std::unique_ptr<http::Server> admin;
+  if (!settings.admin.empty()) {
+    http::ServerSettings server;
+    server.listen = settings.admin;
+    server.most_clients = 100;
+    admin = std::make_unique<http::Server>(loop, server, [&](const http::ExchangePtr& exchange) {
+      const http::Request& request = exchange->request;
+      if (request.method == "GET" && request.path() == "/health")
+        return exchange->answer(http::text_answer(200, "routes\n"));
+      if (request.method == "GET" && request.path() == "/status")
+        return exchange->answer(http::json_answer(200, router.status()));
+      if (request.method == "POST" && request.path() == "/wrong") {
+        try {
+          const std::string node = json::text(json::object_of(request.body), "node");
+          if (router.found_wrong(node)) return exchange->answer(http::json_answer(200, "{}"));
+          return exchange->answer(http::text_answer(404, "no node " + node + "\n"));
+        } catch (const json::BadInput& bad) {
+          return exchange->answer(http::text_answer(422, std::string(bad.what()) + "\n"));
+        }
+      }
+      exchange->answer(http::text_answer(404, "no such thing here\n"));
+    });
+  }
+  router.start();
+  log.info("routes", {{"port", log::text(router.port())}, {"admin", log::text(admin ? admin->port() : 0)}});
+  loop.run();
+  // Told to stop: no new txns, the open ones get their answers, a second signal does not wait for them.
+  router.drain([&] { loop.quit(); });
+  loop.run();
+  const Counters& c = router.counters();
+  log.info("ends", {{"taken", log::text(c.taken)},
+                    {"settled", log::text(c.settled)},
+                    {"declined", log::text(c.declined)},
+                    {"voided", log::text(c.voided)},
+                    {"left", log::text(c.left)},
+                    {"open", log::text(router.open_txns())}});
+  return router.open_txns() == 0 ? 0 : 1;
+}
+
+}  // namespace robinhoist::umpire
--- /dev/null
+++ b/src/umpire/settings.cpp
@@ -0,0 +1,74 @@
+#include "umpire/settings.h"
+
+#include <Poco/Net/SocketAddress.h>
+
+namespace robinhoist::umpire {
+namespace {
+
+using namespace std::chrono_literals;
+
+std::string address(settings::Form& form, const char* key, std::optional<std::string> absent = {}) {
+  std::string text = form.text(key, absent);
+  const std::size_t colon = text.rfind(':');
+  auto port = colon == std::string::npos ? std::nullopt : settings::number_of(text.substr(colon + 1));
+  bool good = port && *port >= 0 && *port <= 65535 && colon > 0;
+  if (!text.empty() && !good) form.problem(key, text + " is not an address such as 127.0.0.1:8080");
+  return text;
+}
+
+}  // namespace
+
+Settings read(settings::Form root) {
+  Settings to;
+  settings::Form form = root.sub("umpire");
+  to.name = form.text("name");
+  to.number = form.whole("number", 0, 1000000, 0);
+  to.salt = static_cast<unsigned>(form.whole("salt", 1, 2147483646, 1 + to.number));
+  to.server.listen = address(form, "listen");
+  to.admin = address(form, "admin", "");
+  to.list_from = address(form, "list-from");
+  to.releases_from = address(form, "releases-from");
+  to.saved = form.text("saved-list", "");
+  to.log_level = form.word<std::string>(
+      "log", {{"debug", "debug"}, {"info", "info"}, {"warn", "warn"}, {"error", "err"}}, std::string("info"));
+  to.zone = form.text("zone", "");
+  to.reserve = form.span("reserve", 0ms, 10s, 5ms);
+  to.server.most_clients = static_cast<std::size_t>(form.whole("most-clients", 1, 1000000, 10000));
+  to.server.limits.header = static_cast<std::size_t>(form.whole("most-header-bytes", 256, 1 << 20, 16384));
+  to.server.limits.body = static_cast<std::size_t>(form.whole("most-body-bytes", 0, 1 << 30, 1 << 20));
+  to.server.head_within = form.span("request-within", 10ms, 10min, 10s);
+  to.server.idle_for = form.span("idle-for", 10ms, 1h, 60s);
+  to.node.most_connections = static_cast<std::size_t>(form.whole("connections-per-node", 1, 100000, 256));
+  to.node.connect_within = form.span("connect-within", 1ms, 1min, 250ms);
+  to.node.keep_for = form.span("keep-connections", 0ms, 1h, 30s);
+  to.node.limits = to.server.limits;
+  if (auto headers = form.maybe("headers")) {
+    HeaderNames& names = to.headers;
+    for (auto& [key, name] :
+         std::initializer_list<std::pair<const char*, std::string*>>{{"tenant", &names.tenant},
+                                                                     {"key", &names.key},
+                                                                     {"routing-key", &names.routing_key},
+                                                                     {"remaining", &names.remaining},
+                                                                     {"cost", &names.cost},
+                                                                     {"repeat", &names.repeat},
+                                                                     {"not-run", &names.not_run}})
+      *name = headers->text(key, *name);
+    headers->finish();
+  }
+  form.finish();
+  to.deployment = deployment::read(root.sub("deployment"));
+  if (!to.zone.empty() && to.deployment.zone(to.zone) < 0)
+    form.problem("zone", to.zone + " is none of the deployment's zones");
+  if (to.number >= to.deployment.umpires)
+    form.problem("number", "must be below the deployment's number of umpires, " +
+                               std::to_string(to.deployment.umpires));
+  for (auto& product : to.deployment.products)
+    if (product.product.expiry <= 2 * to.reserve)
+      form.problem("reserve", "takes half or more of the expiry of product " + product.name);
+  root.finish();
+  return to;
+}
+
+Settings read(const std::string& file) { return read(settings::Form::of_file(file)); }
+
+}  // namespace robinhoist::umpire
--- /dev/null
+++ b/src/umpire/settings.h
@@ -0,0 +1,31 @@
+// One umpire's settings.
+#pragma once
+#include <string>
+
+#include "deployment/deployment.h"
+#include "http/caller.h"
+#include "http/server.h"
+
+namespace robinhoist::umpire {
+
+struct HeaderNames {
+  std::string tenant{"X-Tenant"}, key{"Idempotency-Key"}, routing_key{"X-Routing-Key"},
+      remaining{"X-Remaining-Ms"}, cost{"X-Cost-Ms"}, repeat{"X-Repeat"}, not_run{"X-Not-Run"};
+};
+
+struct Settings {
+  std::string name{}, zone{}, admin{}, list_from{}, releases_from{}, saved{}, log_level{"info"};
+  int number = 0;
+  unsigned salt = 1;
+  Span reserve{};  // of the client's time, kept back for the answer's way to it
+  http::ServerSettings server{};
+  http::CallerSettings node{};
+  HeaderNames headers{};
+  deployment::Deployment deployment{};
+};
+
+// (umpire ...) with (deployment ...) beside it, in the same file. Throws settings::Invalid.
+Settings read(const std::string& file);
+Settings read(settings::Form root);
+
+}  // namespace robinhoist::umpire
