--- /dev/null
+++ b/src/audit/audit.cpp
@@ -0,0 +1,608 @@
+#include "audit/audit.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <functional>
+#include <limits>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+#include "record/record.h"
+
+namespace robinhoist::audit {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Clocks agree, but threads notice late: what nodes and clients saw is taken to be this uncertain. A rule
+// counts as broken only where it is so whichever way the uncertainty falls.
+constexpr Span unsure = 30ms;
+constexpr double no_cap = std::numeric_limits<double>::infinity();
+
+struct Try {
+  Span at, ended, until;
+  long id, first;
+  std::string umpire, end;
+  int product, tenant;
+  bool right, poison;
+};
+
+struct Arrival {
+  Span at;
+  std::string node, umpire, what;
+  int build, product;
+  long id, submission, attempt;  // attempt: the client's try
+  Span work;
+};
+
+struct Start {
+  Span at;
+  std::string zone;
+  int cell;
+  long started;
+};
+
+struct ToldNode {
+  std::string name, phase;
+  long started;
+};
+
+struct Told {
+  Span at;
+  bool news, whole = false;
+  std::vector<ToldNode> nodes{};
+  int build = 0, stage = 0;
+  std::string phase{};
+  double cap = 0;
+};
+
+struct Life {
+  Span from, to;
+};
+
+struct Record {
+  std::vector<Try> tries{};
+  std::vector<Arrival> arrivals{};
+  std::map<std::string, std::vector<Start>> starts{};
+  std::vector<std::pair<Span, std::string>> falls{};
+  std::map<std::string, std::vector<Told>> told{};
+  std::map<std::string, std::vector<Life>> lives{};
+  struct Effect {
+    std::string key;
+    Span at;
+    long id;
+  };
+  std::map<long, long> arrival_of{};  // the node's id of the work: place among the arrivals
+  std::vector<std::pair<long, Span>> effects{};
+  std::map<std::string, long> unasked{};
+};
+
+Span micros(const json::Json& line, const char* field) {
+  return Span(static_cast<long>(json::number(line, field)));
+}
+
+long whole_of(const std::string& text, long absent) {
+  return text.empty() || text.find_first_not_of("0123456789") != std::string::npos ? absent : std::stol(text);
+}
+
+std::string at_s(Span at) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.3f s", std::chrono::duration<double>(at).count());
+  return text;
+}
+
+struct Checker {
+  Report report{};
+  Record record{};
+
+  void broken(int rule, const std::string& what) {
+    Rule& of = report.rules[rule - 1];
+    if (of.broken++ == 0) of.first = what;
+  }
+
+  void read(const std::string& folder) {
+    report.meta = record::read_meta(folder + "/meta.json");
+    int cut = record::read(folder + "/clients.jsonl", [&](const json::Json& line) { read_client(line); });
+    cut += record::read(folder + "/nodes.jsonl", [&](const json::Json& line) { read_node(line); });
+    cut += record::read(folder + "/told.jsonl", [&](const json::Json& line) { read_told(line); });
+    cut += record::read(folder + "/umpires.jsonl", [&](const json::Json& line) {
+      auto& lives = record.lives[json::text(line, "umpire")];
+      const std::string what = json::text(line, "e");
+      if (what == "start") lives.push_back({micros(line, "t"), Span::max()});
+      else if (!lives.empty() && lives.back().to == Span::max()) lives.back().to = micros(line, "t");
+    });
+    if (cut > 0) report.notes.push_back(std::to_string(cut) + " of the files end in mid-line");
+    std::stable_sort(record.arrivals.begin(), record.arrivals.end(),
+                     [](auto& a, auto& b) { return a.at < b.at; });
+  }
+
+  void read_client(const json::Json& line) {
+    if (line.HasMember("unasked")) {
+      record.unasked[json::text(line, "umpire")] += static_cast<long>(json::number(line, "unasked"));
+      return;
+    }
+    Try one;
+    one.at = micros(line, "t");
+    one.ended = micros(line, "t1");
+    one.until = micros(line, "until");
+    one.id = static_cast<long>(json::number(line, "id"));
+    one.first = static_cast<long>(json::number(line, "first"));
+    one.umpire = json::text(line, "umpire");
+    one.product = json::whole(line, "product", 0, static_cast<int>(report.meta.products.size()) - 1);
+    one.tenant = json::whole(line, "tenant");
+    one.end = json::text(line, "end");
+    one.right = json::truth(line, "right");
+    one.poison = json::truth(line, "poison");
+    record.tries.push_back(std::move(one));
+  }
+
+  void read_node(const json::Json& line) {
+    const std::string what = json::text(line, "e");
+    if (what == "ran") {
+      if (json::truth(line, "effect"))
+        record.effects.emplace_back(static_cast<long>(json::number(line, "id")), micros(line, "t"));
+      return;
+    }
+    const std::string node = json::text(line, "node");
+    const Span at = micros(line, "t");
+    if (what == "start") {
+      record.starts[node].push_back({at, json::text(line, "zone"), json::whole(line, "cell"),
+                                     static_cast<long>(json::number(line, "started"))});
+    } else if (what == "stop") {
+      report.most_pushed = std::max(report.most_pushed, json::number(line, "most_pushed"));
+    } else if (what == "fell") {
+      record.falls.emplace_back(at, node);
+    } else {
+      Arrival one;
+      one.at = at;
+      one.node = node;
+      one.what = what;
+      one.build = json::whole(line, "build");
+      one.product = json::whole(line, "product", -1);
+      one.id = static_cast<long>(json::number(line, "id"));
+      const std::string txn = json::text(line, "txn");
+      one.umpire = txn.substr(0, txn.find('.'));
+      one.submission = whole_of(json::text(line, "submission"), 0);
+      one.attempt = whole_of(json::text(line, "try"), -1);
+      one.work = Span(whole_of(json::text(line, "work"), 0));
+      record.arrivals.push_back(std::move(one));
+    }
+  }
+
+  void read_told(const json::Json& line) {
+    const std::string what = json::text(line, "e");
+    if (what == "release") {
+      report.releases.push_back({micros(line, "t"), json::whole(line, "build"), json::whole(line, "stage"),
+                                 json::text(line, "phase"), json::text(line, "why")});
+      return;
+    }
+    if (what == "vote") {
+      ++report.votes;
+      return;
+    }
+    Told told{.at = micros(line, "t"), .news = what == "news"};
+    if (told.news) {
+      told.build = json::whole(line, "build");
+      told.stage = json::whole(line, "stage");
+      told.phase = json::text(line, "phase");
+      told.cap = json::number(line, "cap");
+    } else {
+      told.whole = json::truth(line, "whole");
+      for (auto& node : json::array(line, "nodes").GetArray())
+        told.nodes.push_back({json::text(node, "name"), json::text(node, "phase"),
+                              static_cast<long>(json::number(node, "started"))});
+    }
+    record.told[json::text(line, "umpire")].push_back(std::move(told));
+  }
+
+  // Whether the umpire was not running all the time from then to then.
+  bool interrupted(const std::string& umpire, Span from, Span to) const {
+    auto at = record.lives.find(umpire);
+    if (at == record.lives.end()) return true;
+    return std::none_of(at->second.begin(), at->second.end(),
+                        [&](const Life& life) { return life.from <= from && to <= life.to; });
+  }
+
+  // The told things of one life, those of the life in which `at` lies.
+  Span life_began(const std::string& umpire, Span at) const {
+    Span began{};
+    auto lives = record.lives.find(umpire);
+    if (lives == record.lives.end()) return began;
+    for (const Life& life : lives->second)
+      if (life.from <= at) began = life.from;
+    return began;
+  }
+
+  std::string who(const Try& one) const {
+    return "try " + std::to_string(one.id) + " (" + report.meta.products[one.product].name + ", " +
+           one.umpire + ", sent at " + at_s(one.at) + ")";
+  }
+
+  void rule1_and_2() {
+    std::unordered_map<long, std::vector<const Arrival*>> sent;
+    for (const Arrival& arrival : record.arrivals) sent[arrival.attempt].push_back(&arrival);
+    std::unordered_map<long, const Try*> by_id;
+    for (const Try& one : record.tries) {
+      if (!by_id.emplace(one.id, &one).second) broken(1, who(one) + " had two final answers");
+      lost_or_late(one);
+      auto at = sent.find(one.id);
+      if (at == sent.end()) continue;
+      after_the_end(one, at->second);
+      repeats(one, at->second);
+    }
+    for (auto& [umpire, count] : record.unasked)
+      broken(1, umpire + " sent " + std::to_string(count) + " answers that no client waited for");
+    // A mark is there against a second effect: none may have two while it holds.
+    std::map<std::string, Span> effect_at;
+    std::unordered_map<long, const Arrival*> by_work;
+    for (const Arrival& arrival : record.arrivals) by_work[arrival.id] = &arrival;
+    std::map<long, Span> once;
+    for (auto& [id, at] : record.effects) {
+      auto arrival = by_work.find(id);
+      if (arrival == by_work.end()) continue;
+      auto of = by_id.find(arrival->second->attempt);
+      if (of == by_id.end()) continue;
+      const auto& product = report.meta.products[of->second->product];
+      ++report.rules[1].checked;
+      // The marks of a referenced product are the client's key, one for all its tries.
+      const long what = product.effect == Effect::referenced ? of->second->first : of->second->id;
+      auto [before, fresh] = once.emplace(what, at);
+      if (!fresh)
+        broken(2,
+               who(*of->second) + " had an effect at " + at_s(before->second) + " and again at " + at_s(at));
+    }
+  }
+
+  void lost_or_late(const Try& one) {
+    Rule& rule = report.rules[0];
+    ++rule.checked;
+    const bool answered =
+        one.end == "settled" || one.end == "declined" || one.end == "voided" || one.end == "not-taken";
+    if (answered) {
+      if (one.ended > one.until + report.meta.answer_slack)
+        broken(1, who(one) + " was " + one.end + " " +
+                      std::to_string((one.ended - one.until).count() / 1000) + " ms after its client's time");
+      return;
+    }
+    if (one.end == "left" || one.end == "unreached") return;
+    if (interrupted(one.umpire, one.at - unsure, one.ended + unsure)) ++rule.excused;
+    else
+      broken(1, who(one) + " got no answer: " + one.end + " after " +
+                    std::to_string((one.ended - one.at).count() / 1000) + " ms");
+  }
+
+  void after_the_end(const Try& one, const std::vector<const Arrival*>& sent) {
+    if (one.end == "unreached" || one.end == "broken" || one.end == "timed-out" || one.end == "left") return;
+    for (const Arrival* arrival : sent)
+      if (arrival->at > one.ended + unsure)
+        return broken(1, who(one) + " was " + one.end + " at " + at_s(one.ended) + " and still sent to " +
+                             arrival->node + " at " + at_s(arrival->at));
+  }
+
+  void repeats(const Try& one, const std::vector<const Arrival*>& sent) {
+    const auto& product = report.meta.products[one.product];
+    ++report.rules[1].checked;
+    if (one.end == "not-taken")
+      return broken(2, who(one) + " was not taken, yet sent to " + sent.front()->node);
+    if (product.effect == Effect::inquiry) return;
+    const Arrival* ran = nullptr;
+    for (const Arrival* arrival : sent) {
+      if (ran) {
+        if (product.effect == Effect::once_only)
+          return broken(2, who(one) + " may have run at " + ran->node + " at " + at_s(ran->at) +
+                               " and was sent again, to " + arrival->node + " at " + at_s(arrival->at));
+        if (arrival->at > ran->at + product.memory)
+          return broken(2, who(one) + " was sent again to " + arrival->node + " " +
+                               std::to_string((arrival->at - ran->at).count() / 1000) +
+                               " ms after it may have run; repeats are remembered for " +
+                               std::to_string(product.memory.count() / 1000) + " ms");
+        if (!same_group(product.group, *ran, *arrival))
+          return broken(
+              2, who(one) + " was sent again to " + arrival->node + ", outside the group of " + ran->node);
+      }
+      if (arrival->what != "refused" && !ran) ran = arrival;
+    }
+    if (ran && one.end == "declined" && (product.effect == Effect::once_only || product.group != Group::all))
+      broken(2, who(one) + " was declined though it may have run at " + ran->node);
+  }
+
+  const Start* start_of(const std::string& node, Span at) const {
+    auto starts = record.starts.find(node);
+    const Start* last = nullptr;
+    if (starts != record.starts.end())
+      for (const Start& start : starts->second)
+        if (start.at <= at + 1ms) last = &start;
+    return last;
+  }
+
+  bool same_group(Group group, const Arrival& a, const Arrival& b) const {
+    if (group == Group::all) return true;
+    const Start *x = start_of(a.node, a.at), *y = start_of(b.node, b.at);
+    if (!x || !y) return true;
+    return group == Group::zone ? x->zone == y->zone : x->cell == y->cell;
+  }
+
+  // What an umpire knew of nodes, moved on in time.
+  struct Known {
+    std::size_t next = 0;
+    Span life{-1};
+    struct Node {
+      std::string phase;
+      Span since;
+      long started;
+    };
+    std::map<std::string, Node> nodes{};
+  };
+
+  void move_on(Known& known, const std::string& umpire, Span to) const {
+    const Span began = life_began(umpire, to);
+    if (began != known.life) {
+      known.life = began;
+      known.nodes.clear();
+    }
+    auto told = record.told.find(umpire);
+    if (told == record.told.end()) return;
+    for (; known.next < told->second.size() && told->second[known.next].at <= to; ++known.next) {
+      const Told& one = told->second[known.next];
+      if (one.news || one.at < began) continue;
+      std::set<std::string> named;
+      for (const ToldNode& node : one.nodes) {
+        named.insert(node.name);
+        auto& at = known.nodes[node.name];
+        if (at.phase != node.phase) at = {node.phase, one.at, node.started};
+        at.started = node.started;
+      }
+      if (!one.whole) continue;
+      for (auto& [name, node] : known.nodes)
+        if (named.count(name) == 0 && node.phase != "out") node = {"out", one.at, node.started};
+    }
+  }
+
+  void rule3() {
+    std::map<std::string, Known> umpires;
+    for (const Arrival& arrival : record.arrivals) {
+      Known& known = umpires[arrival.umpire];
+      move_on(known, arrival.umpire, arrival.at);
+      auto at = known.nodes.find(arrival.node);
+      ++report.rules[2].checked;
+      if (at == known.nodes.end() || at->second.phase == "in") continue;
+      if (arrival.at > at->second.since + report.meta.drain_grace + unsure)
+        broken(3, arrival.umpire + " sent new work to " + arrival.node + " at " + at_s(arrival.at) +
+                      ", told at " + at_s(at->second.since) + " that it is " + at->second.phase);
+    }
+  }
+
+  void rule4() {
+    report.rules[3].checked = static_cast<long>(record.starts.size());
+    for (auto& [at, node] : record.falls) {
+      const Start* start = start_of(node, at);
+      std::map<std::string, Known> umpires;
+      Span all{}, knowing{};
+      for (const Arrival& arrival : record.arrivals) {
+        if (arrival.at > at) break;
+        if (arrival.node != node || arrival.at <= at - report.meta.fall_window) continue;
+        Known& known = umpires[arrival.umpire];
+        move_on(known, arrival.umpire, arrival.at);
+        auto told = known.nodes.find(node);
+        all += arrival.work;
+        if (told != known.nodes.end() && start && told->second.started == start->started)
+          knowing += arrival.work;
+      }
+      if (3 * knowing >= 2 * all)
+        broken(4, node + " fell over at " + at_s(at) + ", " + std::to_string(all.count() / 1000) +
+                      " ms of work in its last window, " + std::to_string(knowing.count() / 1000) +
+                      " ms of it from umpires that knew of its start");
+      else ++report.rules[3].excused;
+    }
+  }
+
+  // The cap that binds an umpire for a build, as news moves on.
+  struct Binding {
+    double cap = no_cap, before = no_cap;
+    Span fell{-1};
+    int stage = 0;
+  };
+
+  static double cap_of(const std::optional<Told>& news, int build, const record::Meta& meta) {
+    if (!news || build < news->build) return no_cap;
+    if (build > news->build) return meta.caps.front();
+    if (news->phase == "released") return no_cap;
+    return news->phase == "trial" ? news->cap : 0;
+  }
+
+  void rule5() {
+    Rule& rule = report.rules[4];
+    const record::Meta& meta = report.meta;
+    const int products = static_cast<int>(meta.products.size());
+    std::map<std::string, std::vector<std::vector<Span>>> taken;
+    for (const Try& one : record.tries) {
+      if (one.end == "unreached" || one.end == "not-taken") continue;
+      auto& of = taken[one.umpire];
+      of.resize(products + 1);
+      of[one.product].push_back(one.at);
+      of[products].push_back(one.at);
+    }
+    for (auto& [umpire, lists] : taken)
+      for (auto& list : lists) std::sort(list.begin(), list.end());
+    std::map<std::string, std::vector<const Arrival*>> by_umpire;
+    for (const Arrival& arrival : record.arrivals) by_umpire[arrival.umpire].push_back(&arrival);
+    for (auto& [umpire, arrivals] : by_umpire) {
+      const auto told = record.told.find(umpire);
+      std::size_t next = 0;
+      std::optional<Told> news;
+      Span life{-1};
+      std::map<int, Binding> bindings;
+      std::map<std::pair<int, int>, std::vector<Span>> sent;  // by build and product
+      auto& lists = taken[umpire];
+      lists.resize(products + 1);
+      for (const Arrival* arrival : arrivals) {
+        const Span began = life_began(umpire, arrival->at);
+        if (began != life) {
+          life = began;
+          news.reset();
+          bindings.clear();
+          sent.clear();
+        }
+        auto rebind = [&](int build) {
+          Binding& binding = bindings[build];
+          const double cap = cap_of(news, build, meta);
+          if (cap < binding.cap) {
+            // A fall within the grace of another leaves the higher one standing as it was.
+            if (binding.fell < Span{} || news->at >= binding.fell + meta.drain_grace)
+              binding.before = binding.cap;
+            binding.fell = news->at;
+          }
+          binding.cap = cap;
+          binding.stage = news && build == news->build ? news->stage : 0;
+        };
+        for (;
+             told != record.told.end() && next < told->second.size() && told->second[next].at <= arrival->at;
+             ++next) {
+          if (!told->second[next].news || told->second[next].at < began) continue;
+          news = told->second[next];
+          for (auto& [build, binding] : bindings) rebind(build);
+        }
+        if (!news) continue;
+        if (bindings.count(arrival->build) == 0) rebind(arrival->build);
+        const Binding& binding = bindings[arrival->build];
+        const bool grace = binding.fell >= Span{} && arrival->at <= binding.fell + meta.drain_grace + unsure;
+        const double cap = grace ? std::max(binding.cap, binding.before) : binding.cap;
+        if (cap == no_cap) continue;
+        ++rule.checked;
+        const int product = meta.by_product ? std::max(0, arrival->product) : products;
+        auto& list = sent[{arrival->build, product}];
+        list.push_back(arrival->at);
+        if (!grace && arrival->product >= 0 && binding.stage < meta.safe_only_stages &&
+            meta.products[arrival->product].effect != Effect::inquiry)
+          broken(5, umpire + " sent a txn with an effect to build " + std::to_string(arrival->build) +
+                        " at " + at_s(arrival->at) + ", in wave " + std::to_string(binding.stage));
+        Span from = arrival->at - meta.window + unsure;
+        if (binding.fell >= Span{} && !grace) from = std::max(from, binding.fell + meta.drain_grace);
+        const auto first = std::upper_bound(list.begin(), list.end(), from);
+        const double count = static_cast<double>(list.end() - first);
+        const auto& took = lists[product];
+        const double of = static_cast<double>(
+            std::upper_bound(took.begin(), took.end(), arrival->at + unsure) -
+            std::lower_bound(took.begin(), took.end(), arrival->at - meta.window - unsure));
+        const double most = meta.free + cap * of;
+        if (cap > 0 && !grace)
+          report.most_exposed = std::max(report.most_exposed, count / std::max(1.0, most));
+        if (count > most + 1e-9)
+          broken(5, umpire + " sent " + std::to_string(static_cast<long>(count)) + " submissions to build " +
+                        std::to_string(arrival->build) + " in the window up to " + at_s(arrival->at) +
+                        ", allowed are " + std::to_string(meta.free) + " and " + std::to_string(cap) +
+                        " of " + std::to_string(static_cast<long>(of)) + " txns");
+      }
+    }
+  }
+
+  void figures() {
+    report.products.resize(report.meta.products.size());
+    report.submissions = static_cast<long>(record.arrivals.size());
+    std::unordered_map<long, const Try*> firsts, good;
+    for (const Try& one : record.tries) {
+      ++report.tries;
+      if (one.end == "settled") ++report.settled;
+      else if (one.end == "declined") ++report.declined;
+      else if (one.end == "voided") ++report.voided;
+      else if (one.end == "not-taken") ++report.not_taken;
+      else if (one.end == "unreached") ++report.unreached;
+      else if (one.end == "left") ++report.left;
+      else ++report.lost;
+      if (one.end == "settled" && !one.right) ++report.wrong;
+      if (one.end == "settled")
+        report.products[one.product].latencies_ms.push_back((one.ended - one.at).count() / 1e3);
+      if (one.poison) continue;
+      auto [at, fresh] = firsts.emplace(one.first, &one);
+      if (!fresh && one.at < at->second->at) at->second = &one;
+      if (one.end == "settled" && one.right) {
+        auto [best, new_one] = good.emplace(one.first, &one);
+        if (!new_one && one.ended < best->second->ended) best->second = &one;
+      }
+    }
+    for (auto& [first, one] : firsts) {
+      const auto& product = report.meta.products[one->product];
+      ++report.asked;
+      ++report.products[one->product].asked;
+      report.revenue_asked += product.revenue;
+      auto at = good.find(first);
+      if (at == good.end() || at->second->ended > one->at + product.sla) continue;
+      ++report.products[one->product].settled_in_time;
+      report.revenue_in_time += product.revenue;
+    }
+  }
+};
+
+double part(std::vector<double>& values, double at) {
+  if (values.empty()) return 0;
+  auto nth = values.begin() + static_cast<long>(at * static_cast<double>(values.size() - 1));
+  std::nth_element(values.begin(), nth, values.end());
+  return *nth;
+}
+
+}  // namespace
+
+bool Report::kept() const {
+  return std::all_of(rules.begin(), rules.end(), [](const Rule& rule) { return rule.kept(); });
+}
+
+Report check(const std::string& folder) {
+  Checker checker;
+  const char* const names[] = {"no txn lost", "no effect twice", "drains kept", "no cold node pushed over",
+                               "exposure within the cap"};
+  for (int r = 0; r < 5; ++r) checker.report.rules[r].name = names[r];
+  checker.read(folder);
+  checker.rule1_and_2();
+  checker.rule3();
+  checker.rule4();
+  checker.rule5();
+  checker.figures();
+  return std::move(checker.report);
+}
+
+std::string shown(Report& report) {
+  std::string text;
+  char line[512];
+  for (std::size_t r = 0; r < report.rules.size(); ++r) {
+    const Rule& rule = report.rules[r];
+    std::snprintf(line, sizeof line, "rule %zu %-24s %s (%ld checked", r + 1, rule.name,
+                  rule.kept() ? "kept" : "BROKEN", rule.checked);
+    text += line;
+    if (rule.excused > 0) text += ", " + std::to_string(rule.excused) + " excused";
+    text += ")";
+    if (!rule.kept()) text += ": " + std::to_string(rule.broken) + " times, first: " + rule.first;
+    text += "\n";
+  }
+  std::snprintf(
+      line, sizeof line,
+      "asked %ld, tries %ld: settled %ld (wrong %ld), declined %ld, voided %ld, not taken %ld, unreached "
+      "%ld, lost with an umpire %ld, left %ld\n",
+      report.asked, report.tries, report.settled, report.wrong, report.declined, report.voided,
+      report.not_taken, report.unreached, report.lost, report.left);
+  text += line;
+  std::snprintf(
+      line, sizeof line,
+      "revenue in time %.1f%%; submissions %ld; votes %ld; most exposed %.2f of the cap; cold nodes "
+      "pushed to %.2f of their limit\n",
+      report.revenue_asked > 0 ? 100 * report.revenue_in_time / report.revenue_asked : 0.0,
+      report.submissions, report.votes, report.most_exposed, report.most_pushed);
+  text += line;
+  for (std::size_t p = 0; p < report.products.size(); ++p) {
+    ProductFigures& figures = report.products[p];
+    std::snprintf(line, sizeof line, "%-16s asked %ld, settled in time %.1f%%, p50 %.1f ms, p99 %.1f ms\n",
+                  report.meta.products[p].name.c_str(), figures.asked,
+                  figures.asked > 0 ? 100.0 * static_cast<double>(figures.settled_in_time) /
+                                          static_cast<double>(figures.asked)
+                                    : 0.0,
+                  part(figures.latencies_ms, 0.5), part(figures.latencies_ms, 0.99));
+    text += line;
+  }
+  for (const Release& release : report.releases)
+    text += "build " + std::to_string(release.build) + " wave " + std::to_string(release.stage) + " " +
+            release.phase + " at " + at_s(release.at) + ": " + release.why + "\n";
+  for (const std::string& note : report.notes) text += "note: " + note + "\n";
+  return text;
+}
+
+}  // namespace robinhoist::audit
--- /dev/null
+++ b/src/audit/audit.h
@@ -0,0 +1,49 @@
+// Checks a played day's record against the five rules: from what nodes received, what clients got and what
+// each umpire had been told and when. It trusts nothing that an umpire says of itself.
+#pragma once
+#include <array>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "record/meta.h"
+
+namespace robinhoist::audit {
+
+struct Rule {
+  const char* name = "";
+  long checked = 0, broken = 0, excused = 0;
+  std::string first{};  // the first case, in words
+  bool kept() const { return broken == 0; }
+};
+
+struct ProductFigures {
+  long asked = 0, settled_in_time = 0;
+  std::vector<double> latencies_ms{};  // of settled tries
+};
+
+struct Release {
+  Span at;
+  int build, stage;
+  std::string phase, why;
+};
+
+struct Report {
+  std::array<Rule, 5> rules{};
+  long asked = 0, tries = 0, settled = 0, declined = 0, voided = 0, not_taken = 0, unreached = 0, lost = 0,
+       left = 0;
+  long wrong = 0, submissions = 0, votes = 0;
+  double revenue_asked = 0, revenue_in_time = 0, most_exposed = 0, most_pushed = 0;
+  std::vector<ProductFigures> products{};
+  std::vector<Release> releases{};
+  std::vector<std::string> notes{};
+  record::Meta meta{};
+  bool kept() const;
+};
+
+// Throws json::BadInput when the record can't be read.
+Report check(const std::string& folder);
+// One line for each rule, then the figures.
+std::string shown(Report& report);
+
+}  // namespace robinhoist::audit
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -2,7 +2,9 @@
 #include <CLI/CLI.hpp>
 #include <iostream>
 
+#include "audit/audit.h"
 #include "controller/process.h"
+#include "day/play.h"
 #include "standin/agent.h"
 #include "umpire/process.h"
 
@@ -18,15 +20,45 @@
   if (root.has("umpire")) kind = "umpire", rh::umpire::read(root);
   else if (root.has("standin")) kind = "standin", rh::standin::read(root);
   else if (root.has("controller")) kind = "controller", rh::controller::read(root);
+  else if (root.has("day")) kind = "day", rh::day::read(root);
   else if (root.has("list")) kind = "list", rh::controller::read_list(root);
   else {
-    std::cerr << file << ":1: holds none of (umpire ...), (controller ...), (list ...), (standin ...)\n";
+    std::cerr << file
+              << ":1: holds none of (umpire ...), (controller ...), (list ...), (standin ...), (day ...)\n";
     return 2;
   }
   std::cout << file << ": good settings of a " << kind << "\n";
   return 0;
 }
 
+// Prints the verdict; 0 only when all five rules hold.
+int audit(const std::string& folder) {
+  try {
+    robinhoist::audit::Report report = robinhoist::audit::check(folder);
+    std::cout << robinhoist::audit::shown(report);
+    return report.kept() ? 0 : 1;
+  } catch (const robinhoist::json::BadInput& bad) {
+    std::cerr << bad.what() << "\n";
+    return 2;
+  }
+}
+
+int play(const std::string& file, long seed, std::string folder) {
+  namespace rh = robinhoist;
+  const rh::day::Day day = rh::day::read(Form::of_file(file));
+  if (folder.empty()) folder = "found/day-" + std::to_string(seed);
+  std::cout << file << ", seed " << seed << ": " << day.deployment.umpires << " umpires, " << day.places
+            << " stand-in nodes, " << day.load.rate << " txns a second for "
+            << std::chrono::duration<double>(day.length).count() << " s, record in " << folder << std::endl;
+  const rh::day::Played played = rh::day::play(day, seed, folder, "/proc/self/exe");
+  int status = audit(folder);
+  if (!played.ended_well) {
+    std::cout << "umpires did not end well: " << played.trouble << "\n";
+    status = std::max(status, 1);
+  }
+  return status;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -50,9 +82,19 @@
   CLI::App* checks =
       app.add_subcommand("check", "Check a file of settings; says all that is wrong, with lines");
   checks->add_option("FILE", config, "Settings as S-expressions")->required();
+  CLI::App* days = app.add_subcommand("day", "Play a scripted day on loopback sockets and audit it");
+  long seed = 1;
+  std::string out;
+  days->add_option("FILE", config, "The day, in the notation of days/README.md")->required();
+  days->add_option("--seed", seed, "For all that is drawn")->check(CLI::Range(1L, 1000000000L));
+  days->add_option("--out", out, "Folder for the record (default found/day-SEED)");
+  CLI::App* audits = app.add_subcommand("audit", "Check a day's record against the five rules");
+  audits->add_option("DIR", config, "The folder of the record")->required();
   CLI11_PARSE(app, argc, argv);
   try {
     if (*checks) return check(config);
+    if (*audits) return audit(config);
+    if (*days) return play(config, seed, out);
     Form root = Form::of_file(config);
     if (*umpire) return rh::umpire::run(rh::umpire::read(root));
     if (*controller) return rh::controller::run(rh::controller::read(root));
--- /dev/null
+++ b/src/day/clients.cpp
@@ -0,0 +1,179 @@
+#include "day/clients.h"
+
+#include <algorithm>
+
+namespace robinhoist::day {
+namespace {
+using namespace std::chrono_literals;
+Span seconds(double s) { return Span(static_cast<std::int64_t>(s * 1e6)); }
+
+const char* word(load::End end) {
+  static const char* const words[] = {"settled",   "declined", "voided",    "not-taken",
+                                      "unreached", "broken",   "timed-out", "left"};
+  return words[static_cast<int>(end)];
+}
+
+http::CallerSettings call_settings() {
+  http::CallerSettings settings;
+  settings.most_connections = 4000;
+  settings.connect_within = 1s;
+  return settings;
+}
+}  // namespace
+
+Clients::Clients(net::Loop& loop, const Day& day, unsigned salt, const std::vector<UmpirePorts>& umpires,
+                 record::Writer& record)
+    : loop_(loop), day_(day), load_(day.load, salt), chance_(salt + 1), record_(record) {
+  for (const UmpirePorts& ports : umpires) {
+    auto at = [](int port) { return Poco::Net::SocketAddress("127.0.0.1:" + std::to_string(port)); };
+    fronts_.push_back(std::make_unique<http::Caller>(loop, at(ports.front), call_settings()));
+    admins_.push_back(std::make_unique<http::Caller>(loop, at(ports.admin), call_settings()));
+  }
+}
+
+void Clients::begin(Span from) {
+  from_ = from;
+  begun_ = true;
+  for (const Trouble& trouble : day_.troubles)
+    loop_.at(from + trouble.at, [this, &trouble] { begin_trouble(trouble); });
+  pull();
+}
+
+void Clients::umpire(int number, bool up) { load_.umpire(number, up, now()); }
+
+void Clients::begin_trouble(const Trouble& trouble) {
+  const auto at_end = [&](std::function<void()> undo) { loop_.in(trouble.lasts, std::move(undo)); };
+  const auto& d = day_.deployment;
+  switch (trouble.kind) {
+    case Kind::burst:
+      load_.burst(trouble.size);
+      at_end([this] { load_.burst(1); });
+      break;
+    case Kind::hot_caller: {
+      std::vector<int> some;
+      const int many = std::max(1, static_cast<int>(trouble.part * d.umpires + 0.5));
+      for (int u = 0; u < many; ++u) some.push_back((u * 7 + 1) % d.umpires);
+      load_.hot(some, trouble.size);
+      at_end([this] { load_.hot({}, 0); });
+      break;
+    }
+    case Kind::bad_requests:
+      load_.poison(trouble.tenant.empty() ? -1 : d.tenant(trouble.tenant), trouble.size);
+      at_end([this] { load_.poison(-1, 0); });
+      break;
+    case Kind::retry_abuse:
+      load_.abuse(d.tenant(trouble.tenant), static_cast<int>(trouble.size), trouble.extra);
+      at_end([this] { load_.abuse(-1, 0, 1); });
+      break;
+    default:
+      break;
+  }
+}
+
+void Clients::pull() {
+  loop_.cancel(timer_);
+  if (!begun_) return;
+  while (auto one = load_.next(now())) send(*one);
+  if (auto at = load_.next_at()) timer_ = loop_.at(from_ + *at, [this] { pull(); });
+}
+
+void Clients::send(const load::Try& one) {
+  const auto& product = day_.deployment.products[one.product];
+  const deployment::Match& match = product.matches.front();
+  http::Request request;
+  request.method = match.method;
+  request.target = match.prefix ? match.path + "?n=" + std::to_string(one.id) : match.path;
+  request.headers.add("X-Try", std::to_string(one.id));
+  request.headers.add("X-Work-Us", std::to_string(one.work.count()));
+  const Span left = one.until - now();
+  request.headers.add("X-Remaining-Ms",
+                      std::to_string(static_cast<double>(std::max(Span(1), left).count()) / 1e3));
+  if (!day_.deployment.tenants.empty())
+    request.headers.add("X-Tenant", day_.deployment.tenants[one.tenant].name);
+  if (!one.key.empty()) request.headers.add("Idempotency-Key", one.key);
+  if (one.poison) request.headers.add("X-Poison", "1");
+  if (request.method != "GET") request.body = "{\"txn\":" + std::to_string(one.first) + "}";
+  // A client listens a little longer than it told, so that an answer that comes too late is seen to.
+  const auto call = fronts_[one.umpire]->call(
+      request, std::max(Span(1), left) + 2 * day_.answer_slack,
+      [this, one](http::Ended how, http::Response&& response) { ended(one, how, response); });
+  calls_[one.id] = {one.umpire, call};
+  if (one.leaves == Span{}) return;
+  loop_.at(from_ + one.leaves, [this, one] {
+    auto at = calls_.find(one.id);
+    if (at == calls_.end()) return;
+    fronts_[at->second.first]->cancel(at->second.second);
+    ended(one, http::Ended::cancelled, {});
+  });
+}
+
+void Clients::ended(const load::Try& one, http::Ended how, const http::Response& response) {
+  if (calls_.erase(one.id) == 0) return;
+  load::End end = load::End::broken;
+  const std::string_view said = response.headers.get("Robinhoist-Outcome");
+  if (how == http::Ended::unreached) end = load::End::unreached;
+  if (how == http::Ended::timed_out) end = load::End::timed_out;
+  if (how == http::Ended::cancelled) end = load::End::left;
+  if (how == http::Ended::answered)
+    end = said == "settled"    ? load::End::settled
+          : said == "declined" ? load::End::declined
+          : said == "voided"   ? load::End::voided
+                               : load::End::not_taken;
+  bool right = true;
+  if (end == load::End::settled && response.body.find("\"right\":false") != std::string::npos) right = false;
+  const std::string node(response.headers.get("Robinhoist-Node"));
+  auto pause = settings::number_of(std::string(response.headers.get("Robinhoist-Retry-After-Ms")));
+  record_.line(
+      json::Out()
+          .open()
+          .put("t", static_cast<long>((from_ + one.at).count()))
+          .put("t1", static_cast<long>(loop_.now().count()))
+          .put("until", static_cast<long>((from_ + one.until).count()))
+          .put("id", static_cast<long>(one.id))
+          .put("first", static_cast<long>(one.first))
+          .put("n", one.number)
+          .put("umpire", "umpire-" + std::to_string(one.umpire))
+          .put("product", one.product)
+          .put("tenant", one.tenant)
+          .put("key", one.key)
+          .put("poison", one.poison)
+          .put("end", word(end))
+          .put("status", response.status)
+          .put("why", response.headers.get("Robinhoist-Why"))
+          .put("node", node)
+          .put("build",
+               settings::number_of(std::string(response.headers.get("Robinhoist-Build"))).value_or(-1))
+          .put("right", right)
+          .close()
+          .text());
+  if (end == load::End::settled) {
+    const double chance = std::uniform_real_distribution<double>(0, 1)(chance_);
+    if (chance < (right ? day_.false_reports : day_.deployment.flag_share))
+      loop_.in(day_.reports_least + seconds(std::uniform_real_distribution<double>(0, 1)(chance_) *
+                                            (day_.reports_most - day_.reports_least).count() / 1e6),
+               [this, umpire = one.umpire, node] { report(umpire, node); });
+  }
+  load_.ended(one.id, end, pause ? seconds(*pause / 1e3) : Span{}, now());
+  pull();
+}
+
+void Clients::report(int umpire, const std::string& node) {
+  http::Request request;
+  request.method = "POST";
+  request.target = "/wrong";
+  request.body = json::Out().open().put("node", node).close().text();
+  admins_[umpire]->call(request, 2s, [](http::Ended, http::Response&&) {});
+}
+
+void Clients::note_unasked() {
+  for (std::size_t u = 0; u < fronts_.size(); ++u)
+    if (fronts_[u]->unasked() > 0)
+      record_.line(json::Out()
+                       .open()
+                       .put("unasked", fronts_[u]->unasked())
+                       .put("umpire", "umpire-" + std::to_string(u))
+                       .close()
+                       .text());
+}
+
+}  // namespace robinhoist::day
--- /dev/null
+++ b/src/day/clients.h
@@ -0,0 +1,48 @@
+// A day's clients on a loop of their own: they send what the load says, to umpires on loopback, and note what
+// came of it.
+#pragma once
+#include <map>
+#include <memory>
+
+#include "day/notation.h"
+#include "http/caller.h"
+#include "record/record.h"
+
+namespace robinhoist::day {
+
+struct UmpirePorts {
+  int front = 0, admin = 0;
+};
+
+class Clients {
+ public:
+  Clients(net::Loop& loop, const Day& day, unsigned salt, const std::vector<UmpirePorts>& umpires,
+          record::Writer& record);
+  void begin(Span from);
+  bool over() const { return load_.over(); }
+  std::size_t open() const { return load_.open(); }
+  void umpire(int number, bool up);
+  // Second answers and other words that no client asked for, noted at the end.
+  void note_unasked();
+
+ private:
+  void pull();
+  void send(const load::Try& one);
+  void ended(const load::Try& one, http::Ended how, const http::Response& response);
+  void begin_trouble(const Trouble& trouble);
+  void report(int umpire, const std::string& node);
+  Span now() const { return loop_.now() - from_; }
+
+  net::Loop& loop_;
+  const Day& day_;
+  load::Load load_;
+  std::minstd_rand chance_;
+  record::Writer& record_;
+  std::vector<std::unique_ptr<http::Caller>> fronts_{}, admins_{};
+  std::map<std::int64_t, std::pair<int, http::Caller::Id>> calls_{};
+  net::Loop::Timer timer_ = net::Loop::no_timer;
+  Span from_{};
+  bool begun_ = false;
+};
+
+}  // namespace robinhoist::day
--- /dev/null
+++ b/src/day/notation.cpp
@@ -0,0 +1,241 @@
+#include "day/notation.h"
+
+#include <algorithm>
+
+#include "standin/agent.h"
+
+namespace robinhoist::day {
+namespace {
+
+using namespace std::chrono_literals;
+using settings::Form;
+
+constexpr std::pair<const char*, Kind> kinds[] = {
+    {"crash", Kind::crash},
+    {"vanish", Kind::vanish},
+    {"slow", Kind::slow},
+    {"fast-errors", Kind::fast_errors},
+    {"neighbour", Kind::neighbour},
+    {"probe-fail", Kind::probe_fail},
+    {"connection-squeeze", Kind::connection_squeeze},
+    {"slow-handshakes", Kind::slow_handshakes},
+    {"slow-link", Kind::slow_link},
+    {"zone-cut", Kind::zone_cut},
+    {"burst", Kind::burst},
+    {"hot-caller", Kind::hot_caller},
+    {"bad-requests", Kind::bad_requests},
+    {"retry-abuse", Kind::retry_abuse},
+    {"stale-list", Kind::stale_list},
+    {"umpire-crash", Kind::umpire_crash},
+    {"umpire-roll", Kind::umpire_roll},
+    {"controller-down", Kind::controller_down},
+};
+
+// (key LEAST MOST) or (key BOTH).
+std::pair<Span, Span> range(Form& form, const char* key, Span absent) {
+  auto inner = form.maybe(key);
+  if (!inner) return {absent, absent};
+  std::vector<Span> read;
+  for (std::size_t i = 0; i < inner->own_words(); ++i) {
+    auto one = settings::span_of(inner->own_word(i, ""));
+    if (!one || *one < Span{}) inner->problem(inner->own_word(i, "") + " is not a span such as 250ms");
+    else read.push_back(*one);
+  }
+  inner->finish();
+  if (read.empty() || read.size() > 2 || read.front() > read.back()) {
+    inner->problem("wants one span, or a least and a most");
+    return {absent, absent};
+  }
+  return {read.front(), read.back()};
+}
+
+Trouble read_trouble(Form form, const Day& day) {
+  Trouble trouble{};
+  const std::string name = form.own_word(0, "a kind");
+  bool known = false;
+  for (auto& [word, kind] : kinds)
+    if (name == word) trouble.kind = kind, known = true;
+  if (!known) {
+    std::string all;
+    for (auto& [word, kind] : kinds) all += (all.empty() ? "" : ", ") + std::string(word);
+    form.problem(name + " is none of " + all);
+  }
+  trouble.at = form.span("at", 0ms, day.length);
+  trouble.lasts = form.span("for", 1ms, 1h);
+  const auto is = [&](std::initializer_list<Kind> of) {
+    return std::find(of.begin(), of.end(), trouble.kind) != of.end();
+  };
+  if (is({Kind::crash, Kind::vanish, Kind::slow, Kind::fast_errors, Kind::neighbour, Kind::probe_fail,
+          Kind::connection_squeeze, Kind::slow_handshakes, Kind::hot_caller, Kind::umpire_crash,
+          Kind::umpire_roll}))
+    trouble.part = form.number("part", 0, 1);
+  if (is({Kind::slow, Kind::burst})) trouble.size = form.number("times", 0.01, 1000);
+  if (is({Kind::fast_errors, Kind::neighbour, Kind::probe_fail, Kind::hot_caller, Kind::bad_requests}))
+    trouble.size = form.number("share", 0, 0.99);
+  if (is({Kind::neighbour})) trouble.extra = form.span("every", 10ms, 1h, 2s).count() / 1e6;
+  if (is({Kind::connection_squeeze})) trouble.size = form.number("connections-an-umpire", 0.01, 1e6);
+  if (is({Kind::slow_handshakes})) trouble.size = form.span("by", 0ms, 1min).count() / 1e6;
+  if (is({Kind::slow_link})) {
+    trouble.size = form.span("by", 0ms, 1min).count() / 1e6;
+    trouble.extra = form.number("lost", 0, 1, 0.0);
+  }
+  if (is({Kind::slow_link, Kind::zone_cut})) {
+    trouble.zone = form.text("zone");
+    if (day.deployment.zone(trouble.zone) < 0) form.problem("zone", "is none of the deployment's");
+  }
+  if (is({Kind::bad_requests})) trouble.tenant = form.text("tenant", "");
+  if (is({Kind::retry_abuse})) {
+    trouble.tenant = form.text("tenant");
+    trouble.size = form.whole("tries", 1, 100);
+    trouble.extra = form.number("patience", 0.01, 1);
+  }
+  if (!trouble.tenant.empty() && day.deployment.tenant(trouble.tenant) < 0)
+    form.problem("tenant", "is none of the deployment's");
+  if (is({Kind::stale_list})) trouble.size = form.span("by", 0ms, 1h).count() / 1e6;
+  if (is({Kind::umpire_roll})) {
+    trouble.size = form.number("batch", 0.001, 1);
+    trouble.extra = form.span("down", 0ms, 1min, 500ms).count() / 1e6;
+  }
+  if (is({Kind::controller_down})) {
+    trouble.how =
+        form.word<std::string>("how", {{"silence", "silence"}, {"errors", "errors"}, {"stale", "stale"}});
+    if (trouble.how == "stale") trouble.size = form.span("by", 0ms, 1h).count() / 1e6;
+    if (trouble.how == "silence") trouble.size = form.number("counted", 0, 1, 0.5);
+  }
+  form.finish();
+  return trouble;
+}
+
+void read_load(Form form, Day& day) {
+  load::Settings& to = day.load;
+  to.rate = form.number("rate", 0.1, 1e6);
+  to.shape = form.word<load::Shape>("shape",
+                                    {{"steady", load::Shape::steady},
+                                     {"wave", load::Shape::wave},
+                                     {"ramp", load::Shape::ramp},
+                                     {"bursty", load::Shape::bursty}},
+                                    load::Shape::steady);
+  to.swing = form.number("swing", 0, 0.95, 0.0);
+  to.products.resize(day.deployment.products.size());
+  std::vector<bool> given(to.products.size(), false);
+  double sum = 0;
+  for (Form& one : form.each("product", 1)) {
+    const int p = day.deployment.product(one.own_word(0, "a product"));
+    if (p < 0 || given[p]) {
+      one.problem(p < 0 ? "is none of the deployment's products" : "given twice");
+      continue;
+    }
+    given[p] = true;
+    load::Product& product = to.products[p];
+    sum += product.share = one.number("share", 0, 1);
+    product.work = one.span("work", 1us, 1h);
+    product.spread = one.word<load::Spread>(
+        "spread", {{"exponential", load::Spread::exponential}, {"lognormal", load::Spread::lognormal}},
+        load::Spread::exponential);
+    product.cv = one.number("cv", 0.01, 20, 1.0);
+    one.finish();
+  }
+  for (std::size_t p = 0; p < to.products.size(); ++p) {
+    const Product& of = day.deployment.products[p].product;
+    if (!given[p]) form.problem("product " + day.deployment.products[p].name + " is missing");
+    to.products[p].expiry = of.expiry;
+    to.products[p].memory = of.memory;
+    to.products[p].keyed = of.effect == Effect::referenced;
+    to.products[p].repeats = of.effect == Effect::inquiry ? load::Repeats::always
+                             : of.effect == Effect::referenced && of.group == Group::all
+                                 ? load::Repeats::within_memory
+                                 : load::Repeats::only_declined;
+  }
+  if (sum < 0.999 || sum > 1.001)
+    form.problem("the products' shares must add up to 1, not " + std::to_string(sum));
+  form.finish();
+  if (!day.deployment.tenants.empty()) {
+    to.tenants.clear();
+    for (auto& tenant : day.deployment.tenants) to.tenants.push_back(tenant.tenant.share);
+  }
+}
+
+void read_clients(Form form, load::Settings& to) {
+  to.retries = form.whole("retries", 0, 100, 0);
+  std::vector<double> patience = form.numbers("patience", 0.01, 1, 0);
+  if (!patience.empty()) {
+    to.patience_least = *std::min_element(patience.begin(), patience.end());
+    to.patience_most = *std::max_element(patience.begin(), patience.end());
+  }
+  to.pause = form.word<load::Pause>(
+      "backoff",
+      {{"none", load::Pause::none}, {"fixed", load::Pause::fixed}, {"growing", load::Pause::growing}},
+      load::Pause::none);
+  std::tie(to.pause_least, to.pause_most) = range(form, "pause", 50ms);
+  to.heeds = form.number("heed", 0, 1, 1.0);
+  to.leaves = form.number("leave", 0, 1, 0.0);
+  form.finish();
+}
+
+}  // namespace
+
+const char* word(Kind kind) {
+  for (auto& [word, which] : kinds)
+    if (which == kind) return word;
+  return "?";
+}
+
+Day read(Form root) {
+  Day day;
+  day.deployment = deployment::read(root.sub("deployment"));
+  day.deployment_text = root.written("deployment");
+  Form form = root.sub("day");
+  day.length = form.span("length", 1s, 1h);
+  day.answer_slack = form.span("answer-slack", 0ms, 1s, 20ms);
+  Form fleet = form.sub("fleet");
+  day.places = fleet.whole("places", 1, 10000);
+  day.cell_size = fleet.whole("cell-size", 1, 10000, 4);
+  day.first.number = fleet.whole("build", 1, 65000, 1);
+  day.speed_spread = fleet.number("speed-spread", 0, 0.9, 0.0);
+  std::tie(day.boot_least, day.boot_most) = range(fleet, "boot", 1s);
+  day.capacity = standin::read_capacity(fleet.sub("capacity"), day.deployment);
+  day.cancelled = fleet.word<standin::Cancelled>("cancelled",
+                                                 {{"nothing", standin::Cancelled::nothing},
+                                                  {"queued", standin::Cancelled::queued},
+                                                  {"all", standin::Cancelled::all}},
+                                                 standin::Cancelled::nothing);
+  fleet.finish();
+  if (auto list = form.maybe("list")) {
+    std::tie(day.list_least, day.list_most) = range(*list, "told-after", 0ms);
+    day.silent_after = list->span("silent-after", 0ms, 1h, 5s);
+    list->finish();
+  }
+  if (auto controller = form.maybe("controller")) {
+    std::tie(day.news_least, day.news_most) = range(*controller, "told-after", 0ms);
+    controller->finish();
+  }
+  if (auto reports = form.maybe("reports")) {
+    std::tie(day.reports_least, day.reports_most) = range(*reports, "after", 1s);
+    day.false_reports = reports->number("false", 0, 1, 0.0);
+    reports->finish();
+  }
+  day.load.umpires = day.deployment.umpires;
+  day.load.length = day.length;
+  if (auto front = form.maybe("front")) {
+    day.load.notice = front->span("notice", 0ms, 1h, 1s);
+    front->finish();
+  }
+  read_load(form.sub("load"), day);
+  if (auto clients = form.maybe("clients")) read_clients(*clients, day.load);
+  for (Form& release : form.each("release")) {
+    Offer offer;
+    offer.at = release.span("at", 0ms, day.length);
+    offer.build = standin::read_build(release, day.deployment);
+    if (offer.build.number <= (day.offers.empty() ? day.first.number : day.offers.back().build.number))
+      release.problem("its build is not newer than the one before");
+    if (!day.offers.empty() && offer.at < day.offers.back().at)
+      release.problem("at", "is before the release given before it");
+    day.offers.push_back(offer);
+  }
+  for (Form& trouble : form.each("trouble")) day.troubles.push_back(read_trouble(trouble, day));
+  form.finish();
+  root.finish();
+  return day;
+}
+
+}  // namespace robinhoist::day
--- /dev/null
+++ b/src/day/notation.h
@@ -0,0 +1,72 @@
+// A scripted day: fleet, load, releases and troubles of one deployment, read from S-expressions. The notation
+// is described in days/README.md.
+#pragma once
+#include <string>
+#include <vector>
+
+#include "deployment/deployment.h"
+#include "load/load.h"
+#include "machine/machine.h"
+#include "standin/nodes.h"
+
+namespace robinhoist::day {
+
+using Span = std::chrono::microseconds;
+
+enum class Kind {
+  crash,
+  vanish,
+  slow,
+  fast_errors,
+  neighbour,
+  probe_fail,
+  connection_squeeze,
+  slow_handshakes,
+  slow_link,
+  zone_cut,
+  burst,
+  hot_caller,
+  bad_requests,
+  retry_abuse,
+  stale_list,
+  umpire_crash,
+  umpire_roll,
+  controller_down
+};
+
+struct Trouble {
+  Kind kind;
+  Span at{}, lasts{};
+  double part = 0, size = 0, extra = 0;  // what they mean follows from the kind
+  std::string how{}, zone{}, tenant{};
+};
+
+struct Offer {
+  Span at{};
+  machine::Build build{};
+};
+
+struct Day {
+  deployment::Deployment deployment{};
+  std::string deployment_text{};  // where it came from, for the umpires' own files
+  Span length{};
+  int places = 1, cell_size = 4;
+  machine::Build first{};
+  machine::Capacity capacity{};
+  double speed_spread = 0;
+  Span boot_least{}, boot_most{};
+  standin::Cancelled cancelled = standin::Cancelled::nothing;
+  Span list_least{}, list_most{}, silent_after{};  // how late the list is told, and of a silent node
+  Span news_least{}, news_most{};
+  Span reports_least{}, reports_most{};
+  double false_reports = 0;
+  Span answer_slack{};
+  load::Settings load{};
+  std::vector<Offer> offers{};
+  std::vector<Trouble> troubles{};
+};
+
+Day read(settings::Form root);
+const char* word(Kind kind);
+
+}  // namespace robinhoist::day
--- /dev/null
+++ b/src/day/play.h
@@ -0,0 +1,18 @@
+// Plays a day on loopback sockets: umpires as processes of their own, the rest on threads of this one; leaves
+// the record in a folder. Simulated servers, real umpires.
+#pragma once
+#include <string>
+
+#include "day/notation.h"
+
+namespace robinhoist::day {
+
+struct Played {
+  bool ended_well = true;  // each umpire that was told to stop did so by itself
+  std::string trouble{};   // why not
+};
+
+// `program` is the file to start umpires from. Throws std::runtime_error when the day can't be played.
+Played play(const Day& day, long seed, const std::string& folder, const std::string& program);
+
+}  // namespace robinhoist::day
--- /dev/null
+++ b/src/day/world.cpp
@@ -0,0 +1,331 @@
+#include "day/world.h"
+
+#include <algorithm>
+
+namespace robinhoist::day {
+namespace {
+using namespace std::chrono_literals;
+
+Span seconds(double s) { return Span(static_cast<std::int64_t>(s * 1e6)); }
+
+int number_of(const std::string& umpire) {
+  const std::size_t dash = umpire.rfind('-');
+  return dash == std::string::npos ? -1 : std::atoi(umpire.c_str() + dash + 1);
+}
+}  // namespace
+
+std::string zone_of(const Day& day, int umpire) {
+  return day.deployment.zones[umpire % day.deployment.zones.size()];
+}
+
+World::World(net::Loop& loop, const Day& day, unsigned salt, const log::Log& log, record::Writer& nodes,
+             record::Writer& told)
+    : loop_(loop), day_(day), log_(log), told_(told), chance_(salt) {
+  standin::Shared shared;
+  for (auto& product : day.deployment.products)
+    shared.memory = std::max(shared.memory, product.product.memory);
+  for (auto& product : day.load.products) shared.work.push_back(product.work);
+  shared.cancelled = day.cancelled;
+  nodes_ = std::make_unique<standin::Nodes>(loop, day.deployment, shared, salt + 1, &nodes);
+  nodes_->way = [this](const std::string& umpire, const std::string& zone) {
+    standin::Nodes::Way way;
+    const int number = number_of(umpire);
+    const std::string from = number >= 0 ? zone_of(day_, number) : zone;
+    if (from == zone) return way;
+    way.cut = !cut_zone_.empty() && (from == cut_zone_ || zone == cut_zone_);
+    if (!slow_zone_.empty() && (from == slow_zone_ || zone == slow_zone_)) {
+      way.by = link_by_;
+      way.lost = link_lost_;
+    }
+    return way;
+  };
+  http::ServerSettings server;
+  list_ = std::make_unique<list::Service>(
+      loop, server, "list-1",
+      [this](const std::string& umpire, const list::News& news) { told_list(umpire, news); });
+  list_->told_after(0ms);
+  for (int place = 0; place < day.places; ++place) speeds_[place] = 1 + day.speed_spread * (2 * draw() - 1);
+  controller::Settings settings;
+  settings.rollout = day.deployment.rollout;
+  settings.places = day.places;
+  settings.build = day.first.number;
+  settings.umpires = day.deployment.umpires;
+  settings.series = "rel-1";
+  controller_ = std::make_unique<controller::Controller>(
+      loop, settings, log, [this](const rollout::Order& one) { order(one); },
+      [this](const std::string& umpire, const rollout::News& news) { told_news(umpire, news); },
+      [this](const std::string& umpire, int build, int stage, Verdict verdict, Outcome outcome) {
+        told_.line(json::Out()
+                       .open()
+                       .put("t", static_cast<long>(loop_.now().count()))
+                       .put("e", "vote")
+                       .put("umpire", umpire)
+                       .put("build", build)
+                       .put("stage", stage)
+                       .put("verdict", rollout::word(verdict))
+                       .put("outcome", rollout::word(outcome))
+                       .close()
+                       .text());
+      });
+}
+
+World::~World() = default;
+
+Span World::drawn(Span least, Span most) { return least + seconds(draw() * (most - least).count() / 1e6); }
+
+bool World::all_up() const {
+  return static_cast<int>(places_.size()) >= day_.places &&
+         std::all_of(places_.begin(), places_.end(), [](auto& p) { return p.second.listed; });
+}
+
+const machine::Build& World::build(int number) const {
+  for (const Offer& offer : day_.offers)
+    if (offer.build.number == number) return offer.build;
+  return day_.first;
+}
+
+void World::order(const rollout::Order& order) {
+  if (order.kind == rollout::OrderKind::start) {
+    Place place{"node-" + std::to_string(order.machine), order.place, order.build};
+    places_[order.machine] = place;
+    const bool first = order.build == day_.first.number && order.machine < day_.places;
+    if (first) return boot(order.machine, false);
+    loop_.in(drawn(day_.boot_least, day_.boot_most), [this, id = order.machine] { boot(id, true); });
+    return;
+  }
+  auto at = places_.find(order.machine);
+  if (at == places_.end()) return;
+  at->second.ordered_down = true;
+  if (order.kind == rollout::OrderKind::drain) return list_->phase(at->second.name, NodePhase::lame);
+  down(order.machine, false);
+  places_.erase(order.machine);
+  controller_->core().machine_gone(order.machine, loop_.now());
+}
+
+void World::enlist(int machine) {
+  Place& place = places_.at(machine);
+  list::Entry entry;
+  entry.name = place.name;
+  entry.address = "127.0.0.1:" + std::to_string(nodes_->port(place.name));
+  entry.zone = day_.deployment.zones[place.place % day_.deployment.zones.size()];
+  entry.cell = place.place / day_.cell_size;
+  entry.build = place.build;
+  entry.phase = place.ordered_down ? NodePhase::lame : NodePhase::in;
+  entry.started = nodes_->started(place.name);
+  place.listed = true;
+  list_->put(entry);
+}
+
+void World::boot(int machine, bool cold) {
+  auto at = places_.find(machine);
+  if (at == places_.end() || nodes_->runs(at->second.name)) return;
+  const Place& place = at->second;
+  standin::NodeSpec spec;
+  spec.name = place.name;
+  spec.zone = day_.deployment.zones[place.place % day_.deployment.zones.size()];
+  spec.cell = place.place / day_.cell_size;
+  spec.capacity = day_.capacity;
+  spec.capacity.speed *= speeds_[place.place];
+  spec.build = build(place.build);
+  spec.cold = cold;
+  nodes_->start(spec);
+  enlist(machine);
+  controller_->core().machine_up(machine, loop_.now());
+  controller_->pull();
+}
+
+// The list hears of it after its lag, of a silent one later still.
+void World::down(int machine, bool silently) {
+  Place& place = places_.at(machine);
+  place.listed = false;
+  if (silently) {
+    nodes_->silence(place.name);
+    loop_.in(day_.silent_after, [this, machine, name = place.name] {
+      auto at = places_.find(machine);
+      if (at == places_.end() || !at->second.listed) list_->remove(name);
+    });
+  } else {
+    nodes_->kill(place.name);
+    list_->remove(place.name);
+  }
+}
+
+std::vector<int> World::pick(double part) {
+  std::vector<int> running;
+  for (auto& [id, place] : places_)
+    if (nodes_->runs(place.name) && !place.ordered_down) running.push_back(id);
+  std::shuffle(running.begin(), running.end(), chance_);
+  const std::size_t many = std::min(
+      running.size(),
+      std::max<std::size_t>(1, static_cast<std::size_t>(part * static_cast<double>(running.size()) + 0.5)));
+  running.resize(many);
+  return running;
+}
+
+void World::each(const std::vector<int>& machines, const std::function<void(const std::string&)>& act) {
+  for (int id : machines) {
+    auto at = places_.find(id);
+    if (at != places_.end()) act(at->second.name);
+  }
+}
+
+void World::begin_trouble(const Trouble& trouble) {
+  const Span end = loop_.now() + trouble.lasts;
+  // Acts on some nodes now, and undoes it at the end.
+  auto on_nodes = [&](auto act, auto undo) {
+    auto chosen = pick(trouble.part);
+    each(chosen, act);
+    loop_.at(end, [this, chosen, undo] { each(chosen, undo); });
+  };
+  const double size = trouble.size;
+  switch (trouble.kind) {
+    case Kind::crash:
+    case Kind::vanish:
+      for (int id : pick(trouble.part)) {
+        down(id, trouble.kind == Kind::vanish);
+        controller_->core().machine_gone(id, loop_.now());
+        loop_.at(end, [this, id] {
+          auto at = places_.find(id);
+          if (at == places_.end()) return;
+          nodes_->kill(at->second.name);
+          boot(id, true);
+        });
+      }
+      break;
+    case Kind::slow:
+      on_nodes([this, size](const std::string& n) { nodes_->slow(n, size); },
+               [this](const std::string& n) { nodes_->slow(n, 1); });
+      break;
+    case Kind::fast_errors:
+      on_nodes([this, size](const std::string& n) { nodes_->fail(n, size); },
+               [this](const std::string& n) { nodes_->fail(n, 0); });
+      break;
+    case Kind::neighbour: {
+      auto chosen = pick(trouble.part);
+      const Span every = std::max<Span>(10ms, seconds(trouble.extra));
+      for (int k = 0; every * k < trouble.lasts; ++k)
+        loop_.in(every * k, [this, chosen, size, k] {
+          each(chosen, [&](const std::string& n) { nodes_->neighbour(n, k % 2 == 0 ? size : 0); });
+        });
+      loop_.at(end,
+               [this, chosen] { each(chosen, [this](const std::string& n) { nodes_->neighbour(n, 0); }); });
+      break;
+    }
+    case Kind::probe_fail:
+      on_nodes([this, size](const std::string& n) { nodes_->fail_probes(n, size); },
+               [this](const std::string& n) { nodes_->fail_probes(n, 0); });
+      break;
+    case Kind::connection_squeeze: {
+      const auto most = static_cast<std::size_t>(size * day_.deployment.umpires / day_.places) + 1;
+      on_nodes([this, most](const std::string& n) { nodes_->squeeze(n, most); },
+               [this](const std::string& n) { nodes_->squeeze(n, 0); });
+      break;
+    }
+    case Kind::slow_handshakes:
+      on_nodes([this, size](const std::string& n) { nodes_->slow_handshake(n, seconds(size)); },
+               [this](const std::string& n) { nodes_->slow_handshake(n, 0ms); });
+      break;
+    case Kind::slow_link:
+      slow_zone_ = trouble.zone;
+      link_by_ = seconds(size);
+      link_lost_ = trouble.extra;
+      loop_.at(end, [this] { slow_zone_.clear(); });
+      break;
+    case Kind::zone_cut:
+      cut_zone_ = trouble.zone;
+      loop_.at(end, [this] { cut_zone_.clear(); });
+      break;
+    case Kind::stale_list:
+      list_->told_after(day_.list_most + seconds(size));
+      loop_.at(end, [this] { list_->told_after(drawn(day_.list_least, day_.list_most)); });
+      break;
+    case Kind::controller_down:
+      if (trouble.how == "stale") controller_->told_after(day_.news_most + seconds(size));
+      else
+        controller_->trouble(
+            trouble.how == "silence" ? controller::Trouble::silent : controller::Trouble::errors, size);
+      loop_.at(end, [this] {
+        controller_->told_after(drawn(day_.news_least, day_.news_most));
+        controller_->trouble(controller::Trouble::none, 0);
+      });
+      break;
+    default:
+      return;  // the clients' or the umpires'
+  }
+  log_.info("trouble", {{"is", word(trouble.kind)}});
+}
+
+void World::begin(Span from) {
+  from_ = from;
+  list_->told_after(drawn(day_.list_least, day_.list_most));
+  controller_->told_after(drawn(day_.news_least, day_.news_most));
+  for (const Trouble& trouble : day_.troubles)
+    loop_.at(from + trouble.at, [this, &trouble] { begin_trouble(trouble); });
+  for (const Offer& offer : day_.offers)
+    loop_.at(from + offer.at, [this, &offer] {
+      controller_->core().offer(offer.build.number, loop_.now());
+      controller_->pull();
+    });
+  watch_changes();
+  share_harm();
+}
+
+// A build that harms all machines does so in step with the traffic that it gets.
+void World::share_harm() {
+  double factor = 1;
+  for (const Offer& offer : day_.offers)
+    if (offer.build.flaw == machine::Flaw::shared)
+      factor += (offer.build.strength - 1) * nodes_->share_of_traffic(offer.build.number, 1s);
+  nodes_->harm_all(factor);
+  loop_.in(100ms, [this] { share_harm(); });
+}
+
+void World::watch_changes() {
+  const auto& changes = controller_->core().changes();
+  for (; changes_ < changes.size(); ++changes_) {
+    const rollout::Change& change = changes[changes_];
+    told_.line(json::Out()
+                   .open()
+                   .put("t", static_cast<long>(change.at.count()))
+                   .put("e", "release")
+                   .put("build", change.build)
+                   .put("stage", change.stage)
+                   .put("phase", rollout::word(change.phase))
+                   .put("why", change.why)
+                   .close()
+                   .text());
+  }
+  loop_.in(50ms, [this] { watch_changes(); });
+}
+
+void World::told_list(const std::string& umpire, const list::News& news) {
+  json::Out out;
+  out.open().put("t", static_cast<long>(loop_.now().count())).put("e", "list").put("umpire", umpire);
+  out.put("whole", news.whole).open_list("nodes");
+  for (const list::Entry& entry : news.entries)
+    out.open()
+        .put("name", entry.name)
+        .put("phase", entry.phase == NodePhase::in     ? "in"
+                      : entry.phase == NodePhase::lame ? "lame"
+                                                       : "out")
+        .put("build", entry.build)
+        .put("started", static_cast<long>(entry.started.count()))
+        .close();
+  told_.line(out.close_list().close().text());
+}
+
+void World::told_news(const std::string& umpire, const rollout::News& news) {
+  told_.line(json::Out()
+                 .open()
+                 .put("t", static_cast<long>(loop_.now().count()))
+                 .put("e", "news")
+                 .put("umpire", umpire)
+                 .put("build", news.rel.build)
+                 .put("stage", news.rel.stage)
+                 .put("phase", rollout::word(news.rel.phase))
+                 .put("cap", news.rel.cap)
+                 .close()
+                 .text());
+}
+
+}  // namespace robinhoist::day
--- /dev/null
+++ b/src/day/world.h
@@ -0,0 +1,69 @@
+// All of a day that is not umpires or clients, on one loop: the list, the controller, and stand-in nodes that
+// boot, break and come back.
+#pragma once
+#include <random>
+#include <set>
+
+#include "controller/controller.h"
+#include "day/notation.h"
+#include "list/service.h"
+#include "record/record.h"
+#include "standin/nodes.h"
+
+namespace robinhoist::day {
+
+class World {
+ public:
+  World(net::Loop& loop, const Day& day, unsigned salt, const log::Log& log, record::Writer& nodes,
+        record::Writer& told);
+  ~World();
+
+  int list_port() const { return list_->port(); }
+  int controller_port() const { return controller_->port(); }
+  // Plans what falls due in the day; `from` is when the day starts.
+  void begin(Span from);
+  bool all_up() const;
+  const standin::Nodes& nodes() const { return *nodes_; }
+
+ private:
+  struct Place {  // a machine of the controller's, by its id
+    std::string name;
+    int place, build;
+    bool listed = false, ordered_down = false;
+  };
+  void order(const rollout::Order& order);
+  void boot(int machine, bool cold);
+  void down(int machine, bool silently);
+  void enlist(int machine);
+  const machine::Build& build(int number) const;
+  std::vector<int> pick(double part);
+  void begin_trouble(const Trouble& trouble);
+  void each(const std::vector<int>& machines, const std::function<void(const std::string&)>& act);
+  double draw() { return std::uniform_real_distribution<double>(0, 1)(chance_); }
+  Span drawn(Span least, Span most);
+  void told_list(const std::string& umpire, const list::News& news);
+  void told_news(const std::string& umpire, const rollout::News& news);
+  void watch_changes();
+  void share_harm();
+
+  net::Loop& loop_;
+  const Day& day_;
+  const log::Log& log_;
+  record::Writer& told_;
+  std::minstd_rand chance_;
+  std::unique_ptr<standin::Nodes> nodes_;
+  std::unique_ptr<list::Service> list_;
+  std::unique_ptr<controller::Controller> controller_;
+  std::map<int, Place> places_{};
+  std::map<int, double> speeds_{};  // by place
+  std::size_t changes_ = 0;
+  std::string cut_zone_{}, slow_zone_{};
+  Span link_by_{};
+  double link_lost_ = 0;
+  Span from_{};
+};
+
+// The umpire's zone follows from its number.
+std::string zone_of(const Day& day, int umpire);
+
+}  // namespace robinhoist::day
--- a/src/http/caller.cpp
+++ b/src/http/caller.cpp
@@ -42,7 +42,10 @@
 
   void on_bytes(net::Stream& stream) override {
     auto self = shared_from_this();
-    if (!busy()) return end(Ended::garbled);  // words that nobody asked for
+    if (!busy()) {
+      ++caller_->unasked_;
+      return end(Ended::garbled);
+    }
     Read read = reader_.read(stream.in());
     if (read == Read::bad) return end(Ended::garbled);
     if (read == Read::whole) finished();
@@ -90,7 +93,8 @@
   void finished() {
     Response response = reader_.take();
     auto self = shared_from_this();
-    // What follows an answer that nobody asked for taints the connection.
+    caller_->unasked_ += !stream_->in().empty();
+    // What follows an answer unasked taints the connection.
     if (!response.keep_alive || !stream_->open() || !stream_->in().empty()) {
       Caller* caller = caller_;
       caller_ = nullptr;
--- a/src/http/caller.h
+++ b/src/http/caller.h
@@ -47,6 +47,8 @@
   std::size_t busy() const;
   long opened() const { return opened_; }
   long reused() const { return reused_; }
+  // How often the peer said more than it was asked for.
+  long unasked() const { return unasked_; }
   const Poco::Net::SocketAddress& peer() const { return peer_; }
 
  private:
@@ -60,7 +62,7 @@
   std::vector<std::shared_ptr<Connection>> connections_{};
   std::vector<Connection*> idle_{};  // the last used at the end
   Id next_ = 1;
-  long opened_ = 0, reused_ = 0;
+  long opened_ = 0, reused_ = 0, unasked_ = 0;
 };
 
 }  // namespace robinhoist::http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -2,6 +2,8 @@
 
 #include <unistd.h>
 
+#include <utility>
+
 namespace robinhoist::http {
 
 // A client's connection. One request is with the handler at a time; others wait in the buffer, and reading
@@ -122,6 +124,7 @@
       keep_alive_ = request.keep_alive;
       head_only_ = request.method == "HEAD";
       open_ = std::make_shared<Exchange>(weak_from_this(), std::move(request), server_->loop_.now());
+      open_->first = std::exchange(first_, false);
       in_handler_ = true;
       server_->handler_(ExchangePtr(open_));
       in_handler_ = false;
@@ -144,7 +147,7 @@
   ExchangePtr open_{};
   net::Loop::Timer timer_ = net::Loop::no_timer;
   std::string out_{};
-  bool keep_alive_ = true, head_only_ = false, closing_ = false, in_handler_ = false;
+  bool keep_alive_ = true, head_only_ = false, closing_ = false, in_handler_ = false, first_ = true;
 };
 
 Exchange::~Exchange() {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -44,7 +44,7 @@
   Request request;
   net::Span at;                     // when it had come whole
   std::function<void()> on_gone{};  // the client has left before the answer, or the stream has ended
-  void* user = nullptr;
+  bool first = false;               // the first on its connection
 
  private:
   friend class Client;
--- /dev/null
+++ b/src/load/load.cpp
@@ -0,0 +1,178 @@
+#include "load/load.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace robinhoist::load {
+namespace {
+double seconds(Span s) { return std::chrono::duration<double>(s).count(); }
+Span span(double s) { return Span(static_cast<std::int64_t>(s * 1e6)); }
+constexpr double wave_s = 20, burst_s = 2;  // the periods of two shapes
+}  // namespace
+
+Load::Load(const Settings& settings, unsigned salt)
+    : settings_(settings), chance_(salt), dead_since_(settings.umpires, Span(-1)),
+      up_(settings.umpires, true) {
+  plan_arrival(Span{});
+}
+
+double Load::draw() { return boost::random::uniform_real_distribution<double>(0, 1)(chance_); }
+
+double Load::rate_at(Span now) const {
+  const double s = seconds(now), length = std::max(1e-6, seconds(settings_.length));
+  double factor = burst_ / std::max(0.01, 1 - poison_share_);
+  switch (settings_.shape) {
+    case Shape::steady:
+      break;
+    case Shape::wave:
+      factor *= 1 + settings_.swing * std::sin(2 * 3.14159265358979 * s / wave_s);
+      break;
+    case Shape::ramp:
+      factor *= 1 + settings_.swing * (2 * s / length - 1);
+      break;
+    case Shape::bursty:
+      factor *= std::fmod(s, 2 * burst_s) < burst_s ? 1 + settings_.swing : 1 - settings_.swing;
+      break;
+  }
+  return std::max(0.1, settings_.rate * factor);
+}
+
+void Load::plan_arrival(Span from) {
+  const double wait = boost::random::exponential_distribution<double>(rate_at(from))(chance_);
+  arrival_at_ = from + std::max(Span(1), span(wait));
+  if (arrival_at_ >= settings_.length) arrivals_over_ = true;
+}
+
+Try Load::fresh(Span now) {
+  Try one;
+  one.id = one.first = next_id_++;
+  one.at = now;
+  double at = draw();
+  for (std::size_t p = 0; p < settings_.products.size(); ++p) {
+    one.product = static_cast<int>(p);
+    if ((at -= settings_.products[p].share) < 0) break;
+  }
+  at = draw();
+  for (std::size_t t = 0; t < settings_.tenants.size(); ++t) {
+    one.tenant = static_cast<int>(t);
+    if ((at -= settings_.tenants[t]) < 0) break;
+  }
+  if (poison_share_ > 0 && draw() < poison_share_) {
+    one.poison = true;
+    if (poison_tenant_ >= 0) one.tenant = poison_tenant_;
+  }
+  const Product& product = settings_.products[one.product];
+  const double mean = seconds(product.work);
+  if (product.spread == Spread::exponential) {
+    one.work = span(boost::random::exponential_distribution<double>(1 / std::max(1e-6, mean))(chance_));
+  } else {
+    const double sigma2 = std::log(1 + product.cv * product.cv);
+    one.work = span(boost::random::lognormal_distribution<double>(std::log(std::max(1e-6, mean)) - sigma2 / 2,
+                                                                  std::sqrt(sigma2))(chance_));
+  }
+  if (product.keyed) one.key = "k" + std::to_string(chance_()) + "-" + std::to_string(one.id);
+  return one;
+}
+
+// Over which umpire it goes, how long its client waits, and whether it leaves before.
+void Load::address(Try& one, Span now) {
+  std::vector<int> known;
+  for (int u = 0; u < settings_.umpires; ++u)
+    if (up_[u] || now < dead_since_[u] + settings_.notice) known.push_back(u);
+  if (known.empty())
+    for (int u = 0; u < settings_.umpires; ++u) known.push_back(u);
+  if (hot_share_ > 0 && draw() < hot_share_) known = hot_;
+  one.umpire = known[static_cast<std::size_t>(draw() * static_cast<double>(known.size()))];
+  const Product& product = settings_.products[one.product];
+  double part = settings_.patience_least + draw() * (settings_.patience_most - settings_.patience_least);
+  if (one.tenant == abuse_tenant_ && abuse_tries_ > 0) part = abuse_patience_;
+  one.until = now + span(seconds(product.expiry) * part);
+  one.leaves = draw() < settings_.leaves ? now + span(seconds(one.until - now) * draw()) : Span{};
+}
+
+std::optional<Try> Load::next(Span now) {
+  Try one;
+  if (!due_.empty() && due_.top().at <= now && (arrivals_over_ || due_.top().at <= arrival_at_)) {
+    one = due_.top().one;
+    due_.pop();
+    one.at = now;
+  } else if (!arrivals_over_ && arrival_at_ <= now) {
+    one = fresh(arrival_at_);
+    first_at_[one.first] = arrival_at_;
+    plan_arrival(arrival_at_);
+  } else {
+    return {};
+  }
+  address(one, one.at);
+  const bool abused = one.tenant == abuse_tenant_ && abuse_tries_ > 0;
+  open_[one.id] = {one, first_at_[one.first], abused ? abuse_tries_ : settings_.retries};
+  return one;
+}
+
+std::optional<Span> Load::next_at() const {
+  std::optional<Span> at;
+  if (!arrivals_over_) at = arrival_at_;
+  if (!due_.empty()) at = at ? std::min(*at, due_.top().at) : due_.top().at;
+  return at;
+}
+
+void Load::ended(std::int64_t id, End end, Span stay_away, Span now) {
+  auto found = open_.find(id);
+  if (found == open_.end()) return;
+  const Open open = found->second;
+  open_.erase(found);
+  const Product& product = settings_.products[open.one.product];
+  const bool never_ran = end == End::declined || end == End::not_taken || end == End::unreached;
+  bool again =
+      end != End::settled && end != End::left && open.one.number < open.retries && end != End::not_taken;
+  if (again && !never_ran) {
+    // A referenced txn may come again while its repeats are dropped, counted from its first try.
+    if (product.repeats == Repeats::only_declined) again = false;
+    if (product.repeats == Repeats::within_memory)
+      again = product.memory > Span{} && now + product.expiry < open.first_at + product.memory;
+  }
+  const bool abused = open.one.tenant == abuse_tenant_ && abuse_tries_ > 0;
+  Span wait{};
+  if (!abused) {
+    const Span drawn =
+        settings_.pause_least + span(draw() * seconds(settings_.pause_most - settings_.pause_least));
+    if (settings_.pause == Pause::fixed) wait = drawn;
+    if (settings_.pause == Pause::growing) wait = drawn * (1 << std::min(open.one.number, 6));
+    if (stay_away > Span{} && draw() < settings_.heeds) wait = std::max(wait, stay_away);
+  }
+  // A client has only so much time over all its tries, and a keyed one only while the mark holds.
+  const Span at = now + wait;
+  if (!again ||
+      (product.repeats == Repeats::within_memory && at + product.expiry >= open.first_at + product.memory) ||
+      (!abused && at >= open.first_at + product.expiry * (1 + open.retries))) {
+    first_at_.erase(open.one.first);
+    return;
+  }
+  Try next = open.one;
+  next.id = next_id_++;
+  ++next.number;
+  due_.push({at, next.id, next});
+}
+
+void Load::umpire(int number, bool up, Span now) {
+  up_[number] = up;
+  if (!up) dead_since_[number] = now;
+}
+
+void Load::hot(std::vector<int> umpires, double share) {
+  hot_ = std::move(umpires);
+  hot_share_ = hot_.empty() ? 0 : share;
+}
+
+void Load::poison(int tenant, double share) {
+  poison_tenant_ = tenant;
+  poison_share_ = share;
+}
+
+void Load::abuse(int tenant, int tries, double patience) {
+  abuse_tenant_ = tenant;
+  abuse_tries_ = tries;
+  abuse_patience_ = patience;
+}
+
+}  // namespace robinhoist::load
--- /dev/null
+++ b/src/load/load.h
@@ -0,0 +1,116 @@
+// What clients do, free of I/O and clocks: when txns arrive, what they are, over which umpire they go, how
+// long a client waits, and when it comes again. An open loop: arrivals are drawn ahead of time and do not
+// wait for answers. The host sends what next(now) hands out and says how each try ended.
+#pragma once
+#include <boost/random/exponential_distribution.hpp>
+#include <boost/random/lognormal_distribution.hpp>
+#include <boost/random/uniform_real_distribution.hpp>
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <queue>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace robinhoist::load {
+
+using Span = std::chrono::microseconds;
+
+enum class Shape { steady, wave, ramp, bursty };
+enum class Spread { exponential, lognormal };
+enum class Pause { none, fixed, growing };
+enum class Repeats { always, within_memory, only_declined };
+
+struct Product {
+  double share = 1;
+  Span work{}, expiry{}, memory{};
+  Spread spread = Spread::exponential;
+  double cv = 1;  // of a lognormal spread
+  Repeats repeats = Repeats::always;
+  bool keyed = false;
+};
+
+struct Settings {
+  double rate = 100;  // txns a second, first tries
+  Shape shape = Shape::steady;
+  double swing = 0;  // of the rate, up and down
+  Span length{};
+  std::vector<Product> products{};
+  std::vector<double> tenants{1};  // shares
+  int umpires = 1, retries = 0;
+  double patience_least = 1, patience_most = 1;  // of the expiry, for one try
+  Pause pause = Pause::fixed;
+  Span pause_least{}, pause_most{};
+  double heeds = 1;   // share of clients that stay away as long as they are told
+  double leaves = 0;  // share of tries that their client gives up in the middle
+  Span notice{};      // the front layer goes on with a dead umpire for so long
+};
+
+struct Try {
+  std::int64_t id = 0, first = 0;  // of the txn's first try
+  int number = 0, product = 0, tenant = 0, umpire = 0;
+  Span at{}, until{};  // sent, and when its client gives this try up
+  Span leaves{};       // 0, or when it hangs up before
+  Span work{};
+  std::string key{};
+  bool poison = false;  // fails wherever it goes
+};
+
+enum class End { settled, declined, voided, not_taken, unreached, broken, timed_out, left };
+
+class Load {
+ public:
+  Load(const Settings& settings, unsigned salt);
+
+  std::optional<Try> next(Span now);
+  std::optional<Span> next_at() const;
+  // `stay_away`: as a decline told.
+  void ended(std::int64_t id, End end, Span stay_away, Span now);
+  bool over() const { return arrivals_over_ && due_.empty() && open_.empty(); }
+  std::size_t open() const { return open_.size(); }
+
+  // Umpires that die and come back; the front layer learns of it late.
+  void umpire(int number, bool up, Span now);
+
+  // Troubles.
+  void burst(double times) { burst_ = times; }
+  void hot(std::vector<int> umpires, double share);
+  void poison(int tenant, double share);                         // on top of the usual; 0: over
+  void abuse(int tenant, int tries, double patience_of_expiry);  // 0 tries: over
+
+ private:
+  struct Later {
+    Span at;
+    std::int64_t order;
+    Try one;
+    bool operator>(const Later& other) const { return std::tie(at, order) > std::tie(other.at, other.order); }
+  };
+  double draw();
+  double rate_at(Span now) const;
+  void plan_arrival(Span from);
+  Try fresh(Span now);
+  void address(Try& one, Span now);
+
+  Settings settings_;
+  std::minstd_rand chance_;
+  Span arrival_at_{};
+  bool arrivals_over_ = false;
+  std::priority_queue<Later, std::vector<Later>, std::greater<>> due_{};
+  struct Open {
+    Try one;
+    Span first_at;
+    int retries;
+  };
+  std::unordered_map<std::int64_t, Open> open_{};
+  std::unordered_map<std::int64_t, Span> first_at_{};
+  std::vector<Span> dead_since_;
+  std::vector<bool> up_;
+  std::vector<int> hot_{};
+  double hot_share_ = 0, burst_ = 1, poison_share_ = 0, abuse_patience_ = 1;
+  int poison_tenant_ = -1, abuse_tenant_ = -1, abuse_tries_ = 0;
+  std::int64_t next_id_ = 1;
+};
+
+}  // namespace robinhoist::load
--- /dev/null
+++ b/src/record/meta.cpp
@@ -0,0 +1,90 @@
+#include "record/meta.h"
+
+#include <fstream>
+#include <sstream>
+
+#include "json/fields.h"
+
+namespace robinhoist::record {
+namespace {
+const std::pair<const char*, Effect> effects[] = {
+    {"inquiry", Effect::inquiry}, {"referenced", Effect::referenced}, {"once-only", Effect::once_only}};
+const std::pair<const char*, Group> groups[] = {
+    {"all", Group::all}, {"zone", Group::zone}, {"cell", Group::cell}};
+}  // namespace
+
+void write(const std::string& file, const Meta& meta) {
+  json::Out out;
+  out.open().put("version", 1).put("seed", meta.seed).put("umpires", meta.umpires).put("nodes", meta.nodes);
+  for (auto& [name, span] :
+       std::initializer_list<std::pair<const char*, Span>>{{"length_ms", meta.length},
+                                                           {"drain_grace_ms", meta.drain_grace},
+                                                           {"window_ms", meta.window},
+                                                           {"fall_window_ms", meta.fall_window},
+                                                           {"cold_for_ms", meta.cold_for},
+                                                           {"answer_slack_ms", meta.answer_slack}})
+    out.put_ms(name, span);
+  out.put("free", meta.free).put("fall_multiple", meta.fall_multiple).put("cold_from", meta.cold_from);
+  out.put("by_product", meta.by_product).put("safe_only_stages", meta.safe_only_stages).open_list("caps");
+  for (double cap : meta.caps) out.put(nullptr, cap);
+  out.close_list().open_list("tenants");
+  for (auto& tenant : meta.tenants) out.put(nullptr, tenant);
+  out.close_list().open_list("products");
+  for (auto& product : meta.products)
+    out.open()
+        .put("name", product.name)
+        .put_ms("sla_ms", product.sla)
+        .put_ms("expiry_ms", product.expiry)
+        .put_ms("memory_ms", product.memory)
+        .put("effect", effects[static_cast<int>(product.effect)].first)
+        .put("group", groups[static_cast<int>(product.group)].first)
+        .put("revenue", product.revenue)
+        .close();
+  out.close_list().close();
+  std::ofstream to(file);
+  if (!(to << out.text() << "\n")) throw std::runtime_error("can't write " + file);
+}
+
+Meta read_meta(const std::string& file) {
+  std::ifstream in(file);
+  std::ostringstream text;
+  if (!in || !(text << in.rdbuf())) throw json::BadInput(file + ": can't be read");
+  try {
+    auto document = json::object_of(text.str());
+    if (json::whole(document, "version") != 1) throw json::BadInput("a version that is not known here");
+    Meta meta;
+    meta.seed = static_cast<long>(json::number(document, "seed"));
+    meta.umpires = json::whole(document, "umpires");
+    meta.nodes = json::whole(document, "nodes");
+    meta.length = json::time_of(document, "length_ms");
+    meta.drain_grace = json::time_of(document, "drain_grace_ms");
+    meta.window = json::time_of(document, "window_ms");
+    meta.fall_window = json::time_of(document, "fall_window_ms");
+    meta.cold_for = json::time_of(document, "cold_for_ms");
+    meta.answer_slack = json::time_of(document, "answer_slack_ms");
+    meta.free = json::number(document, "free");
+    meta.fall_multiple = json::number(document, "fall_multiple");
+    meta.cold_from = json::number(document, "cold_from");
+    meta.by_product = json::truth(document, "by_product");
+    meta.safe_only_stages = json::whole(document, "safe_only_stages");
+    for (auto& cap : json::array(document, "caps").GetArray()) meta.caps.push_back(cap.GetDouble());
+    for (auto& tenant : json::array(document, "tenants").GetArray())
+      meta.tenants.push_back(tenant.GetString());
+    for (auto& each : json::array(document, "products").GetArray()) {
+      Meta::Product product;
+      product.name = json::text(each, "name");
+      product.sla = json::time_of(each, "sla_ms");
+      product.expiry = json::time_of(each, "expiry_ms");
+      product.memory = json::time_of(each, "memory_ms");
+      product.effect = json::word<Effect>(each, "effect", {effects[0], effects[1], effects[2]});
+      product.group = json::word<Group>(each, "group", {groups[0], groups[1], groups[2]});
+      product.revenue = json::number(each, "revenue");
+      meta.products.push_back(product);
+    }
+    return meta;
+  } catch (const json::BadInput& bad) {
+    throw json::BadInput(file + ": " + bad.what());
+  }
+}
+
+}  // namespace robinhoist::record
--- /dev/null
+++ b/src/record/meta.h
@@ -0,0 +1,31 @@
+// What a record's reader must know of the day: the figures of the rules, products and zones.
+#pragma once
+#include <string>
+#include <vector>
+
+#include "state.h"
+
+namespace robinhoist::record {
+
+struct Meta {
+  struct Product {
+    std::string name{};
+    Span sla{}, expiry{}, memory{};
+    Effect effect = Effect::inquiry;
+    Group group = Group::all;
+    double revenue = 1;
+  };
+  std::vector<Product> products{};
+  std::vector<std::string> tenants{};
+  std::vector<double> caps{};
+  Span length{}, drain_grace{}, window{}, fall_window{}, cold_for{}, answer_slack{};
+  double free = 0, fall_multiple = 0, cold_from = 0;
+  bool by_product = false;
+  int safe_only_stages = 0, umpires = 0, nodes = 0;
+  long seed = 0;
+};
+
+void write(const std::string& file, const Meta& meta);  // throws std::runtime_error
+Meta read_meta(const std::string& file);                // throws json::BadInput
+
+}  // namespace robinhoist::record
--- a/src/settings/form.cpp
+++ b/src/settings/form.cpp
@@ -209,6 +209,35 @@
                      [&](const Value& item) { return keyed(item) && item.items[0].atom == key; });
 }
 
+namespace {
+void write(const Value& value, std::string& to) {
+  if (value.list) {
+    to += '(';
+    for (const Value& item : value.items) {
+      if (to.back() != '(') to += ' ';
+      write(item, to);
+    }
+    to += ')';
+  } else if (!value.quoted) {
+    to += value.atom;
+  } else {
+    to += '"';
+    for (char c : value.atom) {
+      if (c == '"' || c == '\\') to += '\\';
+      to += c;
+    }
+    to += '"';
+  }
+}
+}  // namespace
+
+std::string Form::written(const char* key) const {
+  std::string text;
+  for (std::size_t i = 1; i < value_->items.size() && text.empty(); ++i)
+    if (keyed(value_->items[i]) && value_->items[i].items[0].atom == key) write(value_->items[i], text);
+  return text;
+}
+
 const Value* Form::one(const char* key, bool needed) {
   const Value* value = scalar(key, needed);
   if (value && value->items.size() == 2 && !value->items[1].list) return &value->items[1];
--- a/src/settings/form.h
+++ b/src/settings/form.h
@@ -77,6 +77,8 @@
   void problem(const char* key, const std::string& what) const;
   int line() const { return value_->line; }
   bool has(const char* key) const;
+  // The form (key ...) as text that reads back the same; empty when there is none.
+  std::string written(const char* key) const;
   // Reports keys that nobody asked for. Called on the file's form it throws what was gathered.
   void finish();
 
--- a/src/standin/agent.cpp
+++ b/src/standin/agent.cpp
@@ -167,7 +167,7 @@
 machine::Build read_build(settings::Form form, const deployment::Deployment& deployment) {
   using machine::Flaw;
   machine::Build to;
-  auto number = settings::number_of(form.own_word(0, "a number"));
+  auto number = settings::number_of(form.own_word(0, "a build number"));
   if (!number || *number < 1 || *number > 65535 || *number != static_cast<int>(*number))
     form.problem("its number is not a whole number from 1 to 65535");
   else to.number = static_cast<int>(*number);
--- a/src/standin/nodes.cpp
+++ b/src/standin/nodes.cpp
@@ -15,16 +15,17 @@
   struct Open {
     http::ExchangePtr exchange;
     int product;
+    Span by;  // the answer takes so much longer
   };
   NodeSpec spec;
   machine::Machine machine;
+  Span started{};  // since 1970; 0: long ago
   std::unique_ptr<http::Server> server{};
   std::unordered_map<std::int64_t, Open> open{};
   net::Loop::Timer timer = net::Loop::no_timer;
   bool silent = false;
-  double probes_fail = 0, lost = 0;
-  std::size_t connections = 0;  // that it takes; 0: as many as come
-  Span link{}, handshake{};
+  double probes_fail = 0;
+  Span handshake{};
 };
 
 Nodes::Nodes(net::Loop& loop, const deployment::Deployment& deployment, const Shared& shared, unsigned salt,
@@ -46,11 +47,15 @@
   node->server = std::make_unique<http::Server>(
       loop_, settings, [this, at = node.get()](const http::ExchangePtr& exchange) { handle(*at, exchange); });
   int port = node->server->port();
+  if (spec.cold) node->started = net::wall_now();
   if (record_)
     record_->line(json::Out()
                       .open()
                       .put("t", static_cast<long>(loop_.now().count()))
                       .put("e", "start")
+                      .put("zone", spec.zone)
+                      .put("cell", spec.cell)
+                      .put("started", static_cast<long>(node->started.count()))
                       .put("node", spec.name)
                       .put("build", spec.build.number)
                       .put("cold", spec.cold)
@@ -62,6 +67,9 @@
   return port;
 }
 
+int Nodes::port(const std::string& name) const { return nodes_.at(name)->server->port(); }
+Span Nodes::started(const std::string& name) const { return nodes_.at(name)->started; }
+
 void Nodes::kill(const std::string& name) {
   auto at = nodes_.find(name);
   if (at == nodes_.end()) return;
@@ -102,10 +110,9 @@
 }
 void Nodes::squeeze(const std::string& name, std::size_t connections) {
   if (!runs(name)) return;
-  nodes_[name]->connections = connections;
-  if (connections > 0 && nodes_[name]->server->clients() > connections)
-    nodes_[name]->server->close_idle(connections);
-  nodes_[name]->server->most(connections > 0 ? connections : shared_.most_clients);
+  http::Server& server = *nodes_[name]->server;
+  server.most(connections > 0 ? connections : shared_.most_clients);
+  if (connections > 0) server.close_idle(connections);
 }
 void Nodes::slow_handshake(const std::string& name, Span by) {
   if (runs(name)) nodes_[name]->handshake = by;
@@ -113,12 +120,6 @@
 void Nodes::fail_probes(const std::string& name, double share) {
   if (runs(name)) nodes_[name]->probes_fail = share;
 }
-void Nodes::slow_link(const std::string& name, Span by, double lost) {
-  if (!runs(name)) return;
-  nodes_[name]->link = by;
-  nodes_[name]->lost = lost;
-}
-
 void Nodes::note(const Node& node, const char* what, const http::Request& request, int product,
                  std::int64_t id) {
   if (!record_) return;
@@ -140,18 +141,31 @@
 }
 
 void Nodes::handle(Node& node, const http::ExchangePtr& exchange) {
-  if (node.silent) {
-    // Kept and never answered.
-    node.open[next_id_++] = {exchange, -1};
-    return;
-  }
   const http::Request& request = exchange->request;
+  // Kept and never answered.
+  auto swallow = [&](const char* why) {
+    const std::int64_t id = next_id_++;
+    note(node, why, request, deployment_.product_of(request.method, request.path()), id);
+    node.open[id] = {exchange, -1, Span{}};
+    exchange->on_gone = [at = &node, id] { at->open.erase(id); };
+  };
+  if (node.silent) return swallow("silent");
   auto chance = [this] { return std::uniform_real_distribution<double>(0, 1)(chance_); };
   if (request.path() == "/health") {
     const bool well = node.probes_fail <= 0 || chance() >= node.probes_fail;
     return exchange->answer(http::text_answer(well ? 200 : 503, well ? "well\n" : "not well\n"));
   }
-  if (node.lost > 0 && chance() < node.lost) return exchange->hang_up();
+  Way there;
+  if (way) {
+    std::string_view umpire = request.headers.get("Robinhoist-Txn");
+    there = way(std::string(umpire.substr(0, umpire.find('.'))), node.spec.zone);
+  }
+  if (there.cut) return swallow("cut");
+  if (there.lost > 0 && chance() < there.lost) {
+    note(node, "cut", request, deployment_.product_of(request.method, request.path()), next_id_++);
+    return exchange->hang_up();
+  }
+  const Span by = there.by + (exchange->first ? node.handshake : Span{});
   const int product = deployment_.product_of(request.method, request.path());
   if (product < 0) return exchange->answer(http::text_answer(404, "no such product\n"));
   machine::Work work;
@@ -165,6 +179,10 @@
   const Effect effect = deployment_.products[product].product.effect;
   work.effect = effect != Effect::inquiry;
   if (effect == Effect::referenced) work.key = request.headers.get("Idempotency-Key");
+  if (!request.headers.get("X-Poison").empty()) {
+    note(node, "poison", request, product, work.id);
+    return exchange->answer(http::json_answer(500, "{\"error\":\"poison\"}"));
+  }
   const bool was_fallen = node.machine.fallen();
   const machine::Entry entry = node.machine.arrive(work, loop_.now());
   if (!was_fallen && node.machine.fallen()) {
@@ -174,10 +192,8 @@
   ++figures_.arrived;
   lately_.emplace_back(loop_.now(), node.spec.build.number);
   if (entry == machine::Entry::down) {
-    note(node, "down", request, product, work.id);
     node.silent = true;  // for good
-    node.open[work.id] = {exchange, product};
-    return;
+    return swallow("down");
   }
   if (entry == machine::Entry::full) {
     ++figures_.refused;
@@ -187,7 +203,7 @@
     return exchange->answer(std::move(full));
   }
   note(node, "taken", request, product, work.id);
-  node.open[work.id] = {exchange, product};
+  node.open[work.id] = {exchange, product, by};
   exchange->on_gone = [this, at = &node, id = work.id] {
     at->open.erase(id);
     at->machine.called_off(id, shared_.cancelled != Cancelled::nothing, shared_.cancelled == Cancelled::all,
@@ -243,8 +259,8 @@
     std::snprintf(load, sizeof load, "TEXT cpu_utilization=%.2f,named_metrics.held=%d", node.machine.busy(),
                   node.machine.held());
     response.headers.add("endpoint-load-metrics", load);
-    if (node.link > Span{}) {
-      loop_.in(node.link, [exchange = open.exchange, response] { exchange->answer(response); });
+    if (open.by > Span{}) {
+      loop_.in(open.by, [exchange = open.exchange, response] { exchange->answer(response); });
     } else {
       open.exchange->answer(std::move(response));
     }
--- a/src/standin/nodes.h
+++ b/src/standin/nodes.h
@@ -43,6 +43,8 @@
   // Breaks all connections at once and is gone.
   void kill(const std::string& name);
   bool runs(const std::string& name) const { return nodes_.count(name) > 0; }
+  int port(const std::string& name) const;
+  Span started(const std::string& name) const;  // since 1970; 0: long ago
   // Says nothing any more, takes connections and does nothing.
   void silence(const std::string& name);
   void slow(const std::string& name, double times);
@@ -54,8 +56,13 @@
   void slow_handshake(const std::string& name, Span by);
   // Health calls fail though the node serves.
   void fail_probes(const std::string& name, double share);
-  // Answers come so much later, or some share of them is lost with its connection.
-  void slow_link(const std::string& name, Span by, double lost);
+  // The way between an umpire and a node: asked for each request, so that links can be cut, slow or lossy.
+  struct Way {
+    bool cut = false;
+    Span by{};        // later, there and back together
+    double lost = 0;  // share of requests whose connection breaks
+  };
+  std::function<Way(const std::string& umpire, const std::string& zone)> way{};
   void harm_all(double factor) { harm_.factor = factor; }
 
   struct Figures {
