--- a/src/audit/audit.cpp
+++ b/src/audit/audit.cpp
@@ -427,6 +427,8 @@
       for (auto& list : lists) std::sort(list.begin(), list.end());
     std::map<std::string, std::vector<const Arrival*>> by_umpire;
     for (const Arrival& arrival : record.arrivals) by_umpire[arrival.umpire].push_back(&arrival);
+    std::set<int> builds;
+    for (const Arrival& arrival : record.arrivals) builds.insert(arrival.build);
     for (auto& [umpire, arrivals] : by_umpire) {
       const auto told = record.told.find(umpire);
       std::size_t next = 0;
@@ -444,10 +446,11 @@
           bindings.clear();
           sent.clear();
         }
-        auto rebind = [&](int build) {
+        auto rebind = [&](int build, bool first_word) {
           Binding& binding = bindings[build];
           const double cap = cap_of(news, build, meta);
-          if (cap < binding.cap) {
+          // The first word of a life is no fall: before it a build counts as in the first wave.
+          if (cap < binding.cap && !first_word) {
             // A fall within the grace of another leaves the higher one standing as it was.
             if (binding.fell < Span{} || news->at >= binding.fell + meta.drain_grace)
               binding.before = binding.cap;
@@ -460,11 +463,11 @@
              told != record.told.end() && next < told->second.size() && told->second[next].at <= arrival->at;
              ++next) {
           if (!told->second[next].news || told->second[next].at < began) continue;
+          const bool first_word = !news;
           news = told->second[next];
-          for (auto& [build, binding] : bindings) rebind(build);
+          for (int build : builds) rebind(build, first_word);
         }
         if (!news) continue;
-        if (bindings.count(arrival->build) == 0) rebind(arrival->build);
         const Binding& binding = bindings[arrival->build];
         const bool grace = binding.fell >= Span{} && arrival->at <= binding.fell + meta.drain_grace + unsure;
         const double cap = grace ? std::max(binding.cap, binding.before) : binding.cap;
--- a/src/rollout/rollout.cpp
+++ b/src/rollout/rollout.cpp
@@ -23,7 +23,7 @@
 }
 
 bool Rollout::gate(int stage) const {
-  auto at = gates_.find(stage);
+  auto at = gates_.find({build_, stage});
   return at == gates_.end() || at->second;
 }
 
@@ -264,7 +264,7 @@
     build_ = *queued_;
     queued_.reset();
     votes_.clear();
-    gates_.clear();
+    gates_.erase(gates_.begin(), gates_.lower_bound({build_, 0}));
     operator_holds_ = false;
     begun_ = false;
     enter(RelPhase::trial, 0, "offered", now);
--- a/src/rollout/rollout.h
+++ b/src/rollout/rollout.h
@@ -76,8 +76,8 @@
   // An operator's word stands above votes: held until resumed.
   bool hold(bool on, const std::string& why, Span now);
   bool back(const std::string& why, Span now);
-  // Steps that must be done first keep a wave from starting: asked through the gate, see next().
-  void gate_open(int stage, bool open) { gates_[stage] = open; }
+  // While a wave's gate is shut it does not start: what must be done first is not done.
+  void gate_open(int build, int stage, bool open) { gates_[{build, stage}] = open; }
 
   // Decisions.
   std::optional<Order> next(Span now);
@@ -117,7 +117,7 @@
   std::map<int, Machine> machines_{};
   std::deque<Order> orders_{};
   std::map<std::string, Vote> votes_{};
-  std::map<int, bool> gates_{};
+  std::map<std::pair<int, int>, bool> gates_{};
   std::vector<Change> changes_{};
   double tokens_ = 0;
   Span tokens_at_{};
--- a/src/umpire/process.cpp
+++ b/src/umpire/process.cpp
@@ -11,7 +11,6 @@
 int run(const Settings& settings) {
   log::Log log(settings.name, settings.log_level);
   net::Loop loop(net::steady_now());
-  net::Signals signals(loop, {SIGTERM, SIGINT}, [&](int) { loop.quit(); });
   std::signal(SIGPIPE, SIG_IGN);
   HttpNodeSource nodes(loop, settings.list_from, settings.name, settings.salt, log);
   HttpReleaseSource releases(loop, settings.releases_from, settings.name, settings.deployment.vote_timeout,
@@ -40,12 +39,16 @@
       exchange->answer(http::text_answer(404, "no such thing here\n"));
     });
   }
+  // Told to stop: no new txns, the open ones get their answers. A second word does not wait for them.
+  bool stopping = false;
+  net::Signals signals(loop, {SIGTERM, SIGINT}, [&](int) {
+    if (stopping) return loop.quit();
+    stopping = true;
+    router.drain([&] { loop.quit(); });
+  });
   router.start();
   log.info("routes", {{"port", log::text(router.port())}, {"admin", log::text(admin ? admin->port() : 0)}});
   loop.run();
-  // Told to stop: no new txns, the open ones get their answers, a second signal does not wait for them.
-  router.drain([&] { loop.quit(); });
-  loop.run();
   const Counters& c = router.counters();
   log.info("ends", {{"taken", log::text(c.taken)},
                     {"settled", log::text(c.settled)},
--- a/src/umpire/router.cpp
+++ b/src/umpire/router.cpp
@@ -221,6 +221,12 @@
     if (peer.phase != NodePhase::out) peer.gone_at = now;
     else if (peer.caller) peer.caller->close_idle();
   }
+  // Until the controller has spoken, what is above the lowest listed build counts as not yet announced.
+  if (counters_.release_news == 0 && !listed_.empty()) {
+    int lowest = listed_.begin()->second.build;
+    for (auto& [name, entry] : listed_) lowest = std::min(lowest, entry.build);
+    umpire_.release_news(RelNews{lowest, 0, RelPhase::released, 1, Span{}}, now);
+  }
   umpire_.list_news(saved ? ListNews::saved : news.whole ? ListNews::whole : ListNews::changes, entries, now);
   if (keeper_ && !saved) {
     list::News all{news.series, news.version, true, {}};
--- /dev/null
+++ b/tests/audit_test.cpp
@@ -0,0 +1,211 @@
+// Proves the auditor on records: tests/audit/*.txt each hold a small record that breaks one rule, or none.
+// The notation is described in tests/audit/README.md.
+#include "audit/audit.h"
+
+#include <unistd.h>
+
+#include <map>
+
+#include "plays.h"
+#include "record/record.h"
+
+namespace robinhoist::audit {
+namespace {
+
+using tests::Words;
+namespace fs = std::filesystem;
+
+struct Folder {
+  fs::path at = fs::temp_directory_path() / ("robinhoist-audit-" + std::to_string(::getpid()));
+  Folder() { fs::create_directories(at); }
+  ~Folder() { fs::remove_all(at); }
+};
+
+struct Written {
+  Folder folder{};
+  record::Meta meta{};
+  std::map<std::string, std::string> files{{"clients", ""}, {"nodes", ""}, {"told", ""}, {"umpires", ""}};
+  std::map<std::string, std::string> wanted{};
+  long next_work = 1, most_pushed = 0;
+  bool cut = false;
+
+  Written() {
+    using namespace std::chrono_literals;
+    meta.products = {{"look", 300ms, 500ms, 0ms, Effect::inquiry, Group::all, 1},
+                     {"book", 300ms, 500ms, 200ms, Effect::referenced, Group::all, 1},
+                     {"pay", 300ms, 500ms, 0ms, Effect::once_only, Group::all, 1},
+                     {"file", 300ms, 500ms, 200ms, Effect::referenced, Group::zone, 1}};
+    meta.caps = {0.1, 1};
+    meta.drain_grace = 1s;
+    meta.window = 2s;
+    meta.fall_window = 1s;
+    meta.answer_slack = 20ms;
+    meta.free = 1;
+    meta.length = 10s;
+  }
+
+  static long us(const std::string& ms) { return std::stol(ms) * 1000; }
+  int product(const std::string& name) const {
+    for (std::size_t p = 0; p < meta.products.size(); ++p)
+      if (meta.products[p].name == name) return static_cast<int>(p);
+    throw std::runtime_error("no product " + name);
+  }
+
+  // try ID UMPIRE PRODUCT AT END ENDED [FIRST]
+  void one_try(const Words& w) {
+    files["clients"] += json::Out()
+                            .open()
+                            .put("t", us(w[4]))
+                            .put("t1", us(w[6]))
+                            .put("until", us(w[4]) + 500000)
+                            .put("id", std::stol(w[1]))
+                            .put("first", std::stol(w.size() > 7 ? w[7] : w[1]))
+                            .put("umpire", w[2])
+                            .put("product", product(w[3]))
+                            .put("tenant", 0)
+                            .put("end", w[5])
+                            .put("right", true)
+                            .put("poison", false)
+                            .close()
+                            .text() +
+                        "\n";
+  }
+
+  // sent TRY UMPIRE PRODUCT AT NODE BUILD WHAT [effect] [work MS]
+  void sent(const Words& w) {
+    const long id = next_work++;
+    long work = 10000;
+    bool effect = false;
+    for (std::size_t i = 8; i < w.size(); ++i) {
+      if (w[i] == "effect") effect = true;
+      if (w[i] == "work") work = us(w[i + 1]);
+    }
+    files["nodes"] += json::Out()
+                          .open()
+                          .put("t", us(w[4]))
+                          .put("e", w[7])
+                          .put("node", w[5])
+                          .put("build", std::stoi(w[6]))
+                          .put("id", id)
+                          .put("product", product(w[3]))
+                          .put("txn", w[2] + "." + w[1])
+                          .put("submission", "0")
+                          .put("try", w[1])
+                          .put("work", std::to_string(work))
+                          .close()
+                          .text() +
+                      "\n";
+    if (effect)
+      files["nodes"] += json::Out()
+                            .open()
+                            .put("t", us(w[4]) + 5000)
+                            .put("e", "ran")
+                            .put("id", id)
+                            .put("effect", true)
+                            .close()
+                            .text() +
+                        "\n";
+  }
+
+  void step(const Words& w) {
+    if (w[0] == "life") {
+      files["umpires"] +=
+          json::Out().open().put("t", us(w[3])).put("umpire", w[1]).put("e", w[2]).close().text() + "\n";
+    } else if (w[0] == "node") {  // node NAME AT ZONE
+      files["nodes"] += json::Out()
+                            .open()
+                            .put("t", us(w[2]))
+                            .put("e", "start")
+                            .put("node", w[1])
+                            .put("zone", w[3])
+                            .put("cell", 0)
+                            .put("started", us(w[2]))
+                            .close()
+                            .text() +
+                        "\n";
+    } else if (w[0] == "fell") {
+      files["nodes"] +=
+          json::Out().open().put("t", us(w[2])).put("e", "fell").put("node", w[1]).close().text() + "\n";
+    } else if (w[0] == "list") {  // list UMPIRE AT whole|changes NODE=PHASE:STARTED ...
+      json::Out out;
+      out.open()
+          .put("t", us(w[2]))
+          .put("e", "list")
+          .put("umpire", w[1])
+          .put("whole", w[3] == "whole")
+          .open_list("nodes");
+      for (std::size_t i = 4; i < w.size(); ++i) {
+        const std::size_t equals = w[i].find('='), colon = w[i].find(':');
+        out.open()
+            .put("name", w[i].substr(0, equals))
+            .put("phase", w[i].substr(equals + 1, colon - equals - 1));
+        out.put("started", us(w[i].substr(colon + 1))).close();
+      }
+      files["told"] += out.close_list().close().text() + "\n";
+    } else if (w[0] == "news") {  // news UMPIRE AT BUILD STAGE PHASE CAP
+      files["told"] += json::Out()
+                           .open()
+                           .put("t", us(w[2]))
+                           .put("e", "news")
+                           .put("umpire", w[1])
+                           .put("build", std::stoi(w[3]))
+                           .put("stage", std::stoi(w[4]))
+                           .put("phase", w[5])
+                           .put("cap", std::stod(w[6]))
+                           .close()
+                           .text() +
+                       "\n";
+    } else if (w[0] == "try") {
+      one_try(w);
+    } else if (w[0] == "tries") {  // tries FROM COUNT UMPIRE PRODUCT AT EVERY: settled 10 ms later
+      for (int i = 0; i < std::stoi(w[2]); ++i) {
+        const long at = std::stol(w[5]) + i * std::stol(w[6]);
+        one_try({"try", std::to_string(std::stol(w[1]) + i), w[3], w[4], std::to_string(at), "settled",
+                 std::to_string(at + 10)});
+      }
+    } else if (w[0] == "sent") {
+      sent(w);
+    } else if (w[0] == "unasked") {
+      files["clients"] += json::Out().open().put("unasked", 1).put("umpire", w[1]).close().text() + "\n";
+    } else if (w[0] == "cut") {
+      cut = true;
+    } else if (w[0] == "expect") {  // expect RULE kept|broken [WORDS]
+      wanted[w[1]] = w[2] + (w.size() > 3 ? " " + w[3] : "");
+    } else {
+      throw std::runtime_error("no such step");
+    }
+  }
+};
+
+class AuditPlay : public testing::TestWithParam<std::string> {};
+
+TEST_P(AuditPlay, is_judged_as_written) {
+  Written written;
+  tests::play(GetParam(), [&](const Words& words) { written.step(words); });
+  record::write((written.folder.at / "meta.json").string(), written.meta);
+  for (auto& [name, text] : written.files) {
+    if (written.cut && !text.empty()) text.resize(text.size() - 5);
+    std::ofstream(written.folder.at / (name + ".jsonl")) << text;
+  }
+  Report report = check(written.folder.at.string());
+  EXPECT_FALSE(written.wanted.empty());
+  for (int r = 1; r <= 5; ++r) {
+    const Rule& rule = report.rules[r - 1];
+    auto wanted = written.wanted.find(std::to_string(r));
+    if (wanted == written.wanted.end()) {
+      EXPECT_TRUE(rule.kept()) << r << ": " << rule.first;
+      continue;
+    }
+    const std::string how = wanted->second.substr(0, wanted->second.find(' '));
+    EXPECT_EQ(rule.kept(), how == "kept") << r << ": " << rule.first;
+    if (how != wanted->second) {
+      EXPECT_NE(rule.first.find(wanted->second.substr(how.size() + 1)), std::string::npos) << rule.first;
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(All, AuditPlay, testing::ValuesIn(tests::files_in(TESTS "/audit", ".txt")),
+                         tests::stem);
+
+}  // namespace
+}  // namespace robinhoist::audit
--- /dev/null
+++ b/tests/program_test.cpp
@@ -0,0 +1,335 @@
+// The program as a user meets it: settings checked, files saved whole, a process killed, starved and stopped,
+// and a short day played; and plays of the machine model (tests/machine/README.md).
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <signal.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstring>
+#include <map>
+#include <thread>
+
+#include "load/load.h"
+#include "machine/machine.h"
+#include "plays.h"
+#include "saved/saved.h"
+#include "settings/form.h"
+
+namespace robinhoist {
+namespace {
+
+using namespace std::chrono_literals;
+namespace fs = std::filesystem;
+using tests::Words;
+
+std::string temp(const std::string& name) {
+  const fs::path folder = fs::temp_directory_path() / ("robinhoist-program-" + std::to_string(::getpid()));
+  fs::create_directories(folder);
+  return (folder / name).string();
+}
+
+// Runs a command of the program; its output and exit status.
+std::pair<std::string, int> run(const std::string& words) {
+  std::FILE* pipe = ::popen((std::string(PROGRAM) + " " + words + " 2>&1").c_str(), "r");
+  std::string out;
+  char buffer[4096];
+  while (std::size_t got = std::fread(buffer, 1, sizeof buffer, pipe)) out.append(buffer, got);
+  const int status = ::pclose(pipe);
+  return {out, WIFEXITED(status) ? WEXITSTATUS(status) : -1};
+}
+
+// Settings: tests/settings/*.conf say on their first line what must come of them: `; good`, or `; bad N` and
+// then lines `; LINE: words` that must all be told, N being how many problems there are.
+class SettingsFile : public testing::TestWithParam<std::string> {};
+
+TEST_P(SettingsFile, is_judged_as_it_says) {
+  std::ifstream in(GetParam());
+  std::string line, kind;
+  std::getline(in, kind);
+  auto [out, status] = run("check " + GetParam());
+  if (kind == "; good") {
+    EXPECT_EQ(status, 0) << out;
+    return;
+  }
+  EXPECT_EQ(status, 2) << out;
+  EXPECT_EQ(std::count(out.begin(), out.end(), '\n'), std::stoi(kind.substr(6))) << out;
+  while (std::getline(in, line) && line.rfind("; ", 0) == 0) {
+    const std::size_t colon = line.find(':');
+    const std::string wanted = GetParam() + ":" + line.substr(2, colon - 2) + ": ";
+    const std::size_t at = out.find(wanted);
+    ASSERT_NE(at, std::string::npos) << wanted << "\n" << out;
+    EXPECT_NE(out.find(line.substr(colon + 2)), std::string::npos) << line << "\n" << out;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(All, SettingsFile, testing::ValuesIn(tests::files_in(TESTS "/settings", ".conf")),
+                         tests::stem);
+
+TEST(Saved, is_whole_or_not_there) {
+  const std::string file = temp("list");
+  std::string why;
+  EXPECT_FALSE(saved::read(file, why));
+  EXPECT_EQ(why, "");
+  const std::string content = "{\"nodes\": [1, 2, 3]}\n";
+  ASSERT_EQ(saved::write(file, content), "");
+  EXPECT_EQ(saved::read(file, why), content);
+  std::ifstream in(file, std::ios::binary);
+  const std::string whole((std::istreambuf_iterator<char>(in)), {});
+  for (std::size_t length = 0; length < whole.size(); ++length) {
+    std::ofstream(file, std::ios::binary) << whole.substr(0, length);
+    EXPECT_FALSE(saved::read(file, why)) << length;
+    EXPECT_NE(why, "") << length;
+  }
+  for (std::size_t at = 0; at < whole.size(); ++at) {
+    std::string other = whole;
+    other[at] = static_cast<char>(other[at] ^ 4);
+    std::ofstream(file, std::ios::binary) << other;
+    EXPECT_FALSE(saved::read(file, why) && *saved::read(file, why) != content) << at;
+  }
+  EXPECT_NE(saved::write("/nowhere/at/all", "x"), "");
+}
+
+// A process of the program, with its own limits.
+struct Child {
+  pid_t pid;
+  Child(const Words& words, rlim_t files = 0) : pid(::fork()) {
+    if (pid != 0) return;
+    if (files > 0) {
+      rlimit limit{files, files};
+      ::setrlimit(RLIMIT_NOFILE, &limit);
+    }
+    const int log = ::open(temp("child.log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    ::dup2(log, 2);
+    std::vector<char*> argv{const_cast<char*>(PROGRAM)};
+    for (const std::string& word : words) argv.push_back(const_cast<char*>(word.c_str()));
+    argv.push_back(nullptr);
+    ::execv(PROGRAM, argv.data());
+    ::_exit(127);
+  }
+  ~Child() { end(SIGKILL); }
+  int end(int signal) {
+    if (pid <= 0) return 0;
+    ::kill(pid, signal);
+    int status = 0;
+    ::waitpid(pid, &status, 0);
+    pid = 0;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+  }
+};
+
+int port_free() {
+  int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t length = sizeof at;
+  ::bind(fd, reinterpret_cast<sockaddr*>(&at), length);
+  ::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &length);
+  ::close(fd);
+  return ntohs(at.sin_port);
+}
+
+int connect_to(int port) {
+  int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_port = htons(static_cast<std::uint16_t>(port));
+  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  if (::connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0) return fd;
+  ::close(fd);
+  return -1;
+}
+
+// One request on a connection of its own; the answer as far as it came within the time, empty when none did.
+std::string ask(int port, const std::string& request, int within_ms = 2000) {
+  int fd = connect_to(port);
+  if (fd < 0) return "";
+  [[maybe_unused]] ssize_t put = ::write(fd, request.data(), request.size());
+  std::string got;
+  char buffer[4096];
+  pollfd ready{fd, POLLIN, 0};
+  while (::poll(&ready, 1, within_ms) > 0) {
+    const ssize_t some = ::read(fd, buffer, sizeof buffer);
+    if (some <= 0) break;
+    got.append(buffer, static_cast<std::size_t>(some));
+  }
+  ::close(fd);
+  return got;
+}
+
+std::string get(int port, const std::string& path) {
+  return ask(port, "GET " + path + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+}
+
+// List, controller, stand-ins and an umpire as four processes.
+struct Fleet {
+  int list = port_free(), releases = port_free(), front = port_free(), admin = port_free();
+  std::map<std::string, std::unique_ptr<Child>> children{};
+  Fleet() {
+    const std::string booking = "(include \"" ROOT "/deploy/example/booking.conf\")\n";
+    const auto at = [](int port) { return "127.0.0.1:" + std::to_string(port); };
+    std::ofstream(temp("list.conf")) << "(list (listen " << at(list) << "))";
+    std::ofstream(temp("controller.conf"))
+        << booking << "(controller (listen " << at(releases) << ") (places 3) (build 1))";
+    std::ofstream(temp("standin.conf")) << booking << "(standin (list " << at(list) << ") (orders-from "
+                                        << at(releases) << ") (nodes 3) (work 5ms) (build 1) (build 2))";
+    std::ofstream(temp("umpire.conf"))
+        << booking << "(umpire (name u0) (listen " << at(front) << ") (admin " << at(admin) << ") (list-from "
+        << at(list) << ") (releases-from " << at(releases) << ") (saved-list \"" << temp("u0.nodes")
+        << "\") (idle-for 1s))";
+    for (const char* one : {"list", "controller", "standin"}) start(one);
+  }
+  void start(const std::string& what, rlim_t files = 0) {
+    children[what] = std::make_unique<Child>(Words{what, "--config", temp(what + ".conf")}, files);
+  }
+  bool settles(int tries = 400) {
+    for (int i = 0; i < tries; ++i, std::this_thread::sleep_for(10ms))
+      if (get(front, "/slots/1").find("Robinhoist-Outcome: settled") != std::string::npos) return true;
+    return false;
+  }
+};
+
+TEST(Process, killed_it_comes_back_with_the_saved_list_alone) {
+  Fleet fleet;
+  fleet.start("umpire");
+  ASSERT_TRUE(fleet.settles());
+  // Its list is saved in the background.
+  std::string why;
+  for (int i = 0; i < 200 && !saved::read(temp("u0.nodes"), why); ++i) std::this_thread::sleep_for(10ms);
+  fleet.children["umpire"]->end(SIGKILL);
+  fleet.children["list"]->end(SIGKILL);
+  fleet.children["controller"]->end(SIGKILL);
+  fleet.start("umpire");
+  EXPECT_TRUE(fleet.settles());
+  EXPECT_EQ(fleet.children["umpire"]->end(SIGTERM), 0);
+}
+
+TEST(Process, out_of_file_descriptors_it_goes_on) {
+  Fleet fleet;
+  fleet.start("umpire", 40);
+  ASSERT_TRUE(fleet.settles());
+  std::vector<int> held;
+  for (int i = 0; i < 100; ++i) held.push_back(connect_to(fleet.front));
+  std::this_thread::sleep_for(200ms);
+  for (int fd : held) ::close(fd);
+  EXPECT_TRUE(fleet.settles());
+  EXPECT_EQ(fleet.children["umpire"]->end(SIGTERM), 0);
+}
+
+TEST(Process, a_port_that_is_taken_is_one_clear_error) {
+  Fleet fleet;
+  fleet.start("umpire");
+  ASSERT_TRUE(fleet.settles());
+  auto [out, status] = run("umpire --config " + temp("umpire.conf"));
+  EXPECT_EQ(status, 2);
+  EXPECT_NE(out.find("can't listen on 127.0.0.1:" + std::to_string(fleet.admin)), std::string::npos) << out;
+}
+
+TEST(Day, a_short_one_keeps_the_five_rules) {
+  auto [out, status] = run("day " ROOT "/days/short.day --seed 3 --out " + temp("day"));
+  EXPECT_EQ(status, 0) << out;
+  EXPECT_NE(out.find("released"), std::string::npos) << out;
+}
+
+// Plays of the machine model.
+struct MachineStage {
+  machine::Capacity capacity{.cores = 2, .slots = 4, .waiting_room = 2};
+  machine::Build build{.number = 1};
+  machine::Marks marks{200ms};
+  std::unique_ptr<machine::Machine> machine{};
+  machine::Span now{1s};
+  std::map<std::string, double> counts{};
+  std::int64_t next_id = 1;
+
+  machine::Machine& it() {
+    if (!machine) machine = std::make_unique<machine::Machine>(capacity, build, 7, now, &marks);
+    return *machine;
+  }
+
+  void step(const Words& w) {
+    const auto ms = [](const std::string& word) { return machine::Span(std::stol(word) * 1000); };
+    if (w[0] == "cold") {
+      capacity.cold_for = ms(w[1]);
+      capacity.fall_window = 1s;
+    } else if (w[0] == "bad") {
+      const std::map<std::string, machine::Flaw> flaws{
+          {"errors", machine::Flaw::errors},   {"slow", machine::Flaw::slow},
+          {"product", machine::Flaw::product}, {"load", machine::Flaw::load},
+          {"late", machine::Flaw::late},       {"wrong", machine::Flaw::wrong}};
+      build.flaw = flaws.at(w[1]);
+      build.strength = std::stod(w[2]);
+      build.product = 1;
+      build.failing = 1;
+      build.busy = 0.4;
+      build.after = 500ms;
+    } else if (w[0] == "arrive") {
+      for (int i = 0; i < std::stoi(w[1]); ++i) {
+        machine::Work work{next_id++, std::stoi(w[2]), ms(w[3]), w.size() > 4 ? w[4] : "", w.size() > 4};
+        const machine::Entry entry = it().arrive(work, now);
+        ++counts[entry == machine::Entry::taken ? "taken" : entry == machine::Entry::full ? "full" : "down"];
+      }
+    } else if (w[0] == "run") {
+      for (const machine::Span until = now + ms(w[1]); now < until; now += 1ms)
+        while (auto done = it().next(now)) {
+          ++counts[done->how == machine::Ran::well     ? "well"
+                   : done->how == machine::Ran::failed ? "failed"
+                   : done->how == machine::Ran::wrong  ? "wrong"
+                                                       : "repeat"];
+          counts["effects"] += done->effect;
+        }
+    } else if (w[0] == "slow") {
+      it().slowed(std::stod(w[1]));
+    } else if (w[0] == "expect") {
+      EXPECT_TRUE(tests::compares(counts[w[1]], w[2], std::stod(w[3]))) << counts[w[1]];
+    } else {
+      throw std::runtime_error("no such step");
+    }
+  }
+};
+
+class MachinePlay : public testing::TestWithParam<std::string> {};
+
+TEST_P(MachinePlay, goes_as_written) {
+  MachineStage stage;
+  tests::play(GetParam(), [&](const Words& words) { stage.step(words); });
+}
+
+INSTANTIATE_TEST_SUITE_P(All, MachinePlay, testing::ValuesIn(tests::files_in(TESTS "/machine", ".txt")),
+                         tests::stem);
+
+// The same seed gives the same txns; what may not come again does not.
+TEST(Load, is_drawn_from_its_seed_and_repeats_what_it_may) {
+  load::Settings settings;
+  settings.length = 10s;
+  settings.rate = 200;
+  settings.retries = 2;
+  load::Product any, once;
+  any.share = once.share = 0.5;
+  any.work = once.work = 10ms;
+  any.expiry = once.expiry = 1s;
+  once.repeats = load::Repeats::only_declined;
+  settings.products = {any, once};
+  std::vector<std::string> drawn[2];
+  for (auto& list : drawn) {
+    load::Load load(settings, 11);
+    std::map<int, int> most;
+    for (load::Span now{}; !load.over(); now += 1ms)
+      while (auto one = load.next(now)) {
+        list.push_back(std::to_string(one->id) + "/" + std::to_string(one->product) + "/" +
+                       std::to_string(one->work.count()));
+        most[one->product] = std::max(most[one->product], one->number);
+        load.ended(one->id, load::End::voided, load::Span{}, now);
+      }
+    EXPECT_EQ(most[0], 2);
+    EXPECT_EQ(most[1], 0);
+  }
+  EXPECT_EQ(drawn[0], drawn[1]);
+  EXPECT_GT(drawn[0].size(), 2500u);
+}
+
+}  // namespace
+}  // namespace robinhoist
