--- /dev/null
+++ b/fuzz/settings_fuzz.cpp
@@ -0,0 +1,14 @@
+// Fuzz target: the settings reader must refuse or read whatever it gets, and never crash.
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include "umpire/settings.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  try {
+    robinhoist::umpire::read(
+        robinhoist::settings::Form::of_text(std::string(reinterpret_cast<const char*>(data), size), "fuzz"));
+  } catch (const robinhoist::settings::Invalid&) {}
+  return 0;
+}
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -21,6 +21,7 @@
 constexpr double reach_pace = 2;  // submissions a second that an umpire's node should get from it,
 constexpr std::size_t reach_least = 4, reach_refused = 2;  // but so many nodes at least, or so few
 constexpr double refused_part = 0.15;                      // when this part of all connections is refused
+constexpr std::size_t draw_from = 64, draws_most = 16;  // drawn one by one: of more nodes than this
 constexpr Span ask_pause_least = 400ms, ask_pause_most = 3s;
 }  // namespace
 
@@ -35,6 +36,7 @@
     ask_pause_ = std::min(2 * ask_pause_, ask_pause_most);
     return;
   }
+  warm();  // as the list was
   if (kind != ListNews::saved) ask_pause_ = ask_pause_least;
   if (kind != ListNews::changes)
     for (Node& node : nodes_) node.phase = NodePhase::out;
@@ -44,6 +46,7 @@
     // A new start or another build is another process: what was known of the old one says nothing.
     if (!node.listed || node.started != entry.started || node.build != entry.build) {
       node.results = Samples<Result>(results_kept);
+      node.lately.reset();
       node.dead_run = node.full_run = 0;
       node.heard_at = node.full_at = node.back_at = node.cold_sent = long_ago;
       node.told = now;
@@ -108,6 +111,7 @@
   bool well = outcome == Outcome::ok || (outcome == Outcome::timeout && node.heard_at >= submission.sent);
   node.results.push({now, well, ratio(txn.product, took, txn.hint_ms), took, submission.in_hand,
                      outcome != Outcome::error});
+  node.lately.reset();
   if (outcome != Outcome::ok) return;
   // What one warm node carries: those gone since count too, else a fleet being swapped looks far more able.
   if (warmth(submission.node, submission.sent) < 1) return;
@@ -117,9 +121,17 @@
     --nodes_[settled_.front().second].settled;
     settled_.pop_front();
   }
+  warm_asked_ = now;
+}
+
+// How many nodes were warm when the last answer came.
+int Nodes::warm() {
+  if (!warm_asked_) return warm_;
   warm_ = 0;
   for (int n = 0; n < static_cast<int>(nodes_.size()); ++n)
-    warm_ += nodes_[n].settled > 0 || (open(n) && warmth(n, now) >= 1);
+    warm_ += nodes_[n].settled > 0 || (open(n) && warmth(n, *warm_asked_) >= 1);
+  warm_asked_.reset();
+  return warm_;
 }
 
 void Nodes::learn(int product, Span took, double hint_ms) {
@@ -160,7 +172,7 @@
   double ring = static_cast<double>(rings_[node.build == newest_][near(n)].size());
   double reached_by = std::min(1.0, reach(now) / std::max(1.0, ring));
   double most = cold_margin * settings_.fall_multiple * then * node.size * settled_.size() /
-                (std::max(1, warm_) * reached_by);
+                (std::max(1, warm()) * reached_by);
   most = std::max(most, std::min(1.0, cold_least / (settings_.umpires * reached_by)));
   if (most >= 1) return node.sends.size() + 1 <= most;
   Span gap = from_millis(millis(settings_.fall_window) / most);
@@ -176,12 +188,23 @@
   return now < node.dead_at + rest || !node.out.empty();
 }
 
-// The last results that are young enough to tell of the node's health.
-static std::vector<const Result*> recent(const Node& node, Span now) {
-  std::vector<const Result*> young;
-  for (std::size_t i = 0; i < node.results.size() && node.results.back(i).at >= now - result_life; ++i)
-    young.push_back(&node.results.back(i));
-  return young;
+// Of the last results those that are young enough to tell of the node's health.
+const Lately& Nodes::lately(int n, Span now) {
+  Node& node = nodes_[n];
+  if (node.lately && now <= node.lately->until) return *node.lately;
+  Lately sum{.last_failed = long_ago, .until = Span::max()};
+  for (std::size_t i = 0; i < node.results.size() && node.results.back(i).at >= now - result_life; ++i) {
+    const Result& result = node.results.back(i);
+    ++sum.young;
+    sum.until = result.at + result_life;
+    sum.ratios += result.timed ? std::clamp(result.ratio, 0.3, 8.0) : 1;  // a quick error is no sign of speed
+    sum.took += result.timed ? seconds(result.took) : 0;
+    sum.in_hand += result.timed ? result.in_hand : 0;
+    if (result.ok) continue;
+    ++sum.failed;
+    sum.last_failed = std::max(sum.last_failed, result.at);
+  }
+  return node.lately.emplace(sum);
 }
 
 // Guards against nodes that swallow, fail or turn away work; when all are poorly the least bad serve.
@@ -191,15 +214,9 @@
     return false;
   if (!node.out.empty() && node.heard_at < node.out.front() && now - node.out.front() > patience())
     return false;
-  std::size_t failed = 0, young = 0;
-  Span last = long_ago;
-  for (const Result* result : recent(node, now)) {
-    ++young;
-    if (result->ok) continue;
-    ++failed;
-    last = std::max(last, result->at);
-  }
-  if (failed >= 3 && failed * 4 >= young) return now > last + failing_rest && node.out.empty();
+  const Lately& sum = lately(n, now);
+  if (sum.failed >= 3 && sum.failed * 4 >= sum.young)
+    return now > sum.last_failed + failing_rest && node.out.empty();
   return true;
 }
 
@@ -214,12 +231,8 @@
 // Own txns in flight, weighed by size, warmth and how slow the node's last answers were.
 double Nodes::cost(int n, Span now) {
   const Node& node = nodes_[n];
-  double sum = 3, seen = 3;
-  for (const Result* result : recent(node, now)) {
-    sum += result->timed ? std::clamp(result->ratio, 0.3, 8.0) : 1;  // a quick error is no sign of speed
-    ++seen;
-  }
-  double slow = std::max(1.0, sum / seen / 1.3);
+  const Lately& sum = lately(n, now);
+  double slow = std::max(1.0, (3 + sum.ratios) / (3 + static_cast<double>(sum.young)) / 1.3);
   // A fresh report tells of others' work there; half of it counts, as all umpires hear the same and late.
   double own = static_cast<double>(node.out.size());
   const Load load = now < node.load_at + report_life ? node.load : Load{};
@@ -232,15 +245,10 @@
 // against queues that no answer survives, whatever fills them. It may shed too early on few answers.
 Span Nodes::wait(int n, Span now) {
   const Node& node = nodes_[n];
-  double took = 0, in_hand = 0;
-  for (const Result* result : recent(node, now)) {
-    if (!result->timed) continue;
-    took += seconds(result->took);
-    in_hand += result->in_hand;
-  }
-  if (in_hand < results_kept / 4 && (in_hand == 0 || node.results.back(0).at < now - thin_life))
+  const Lately& sum = lately(n, now);
+  if (sum.in_hand < results_kept / 4 && (sum.in_hand == 0 || node.results.back(0).at < now - thin_life))
     return Span{};
-  return from_millis(1e3 * (node.out.size() + 1) * took / in_hand);
+  return from_millis(1e3 * (node.out.size() + 1) * sum.took / sum.in_hand);
 }
 
 int Nodes::better_of_two(const std::vector<int>& among, Span now, Chance& chance) {
@@ -271,7 +279,23 @@
   for (bool close : {true, false}) {
     const std::vector<int>& ring = rings_[young][close];
     const std::size_t start = static_cast<std::size_t>(golden_part(settings_.me) * ring.size());
-    std::size_t used = 0;
+    std::size_t used = 0, poor = 0;
+    // On a long stretch it draws until it has met two that will do: the same choice, at a cost that does not
+    // grow with the fleet.
+    const std::size_t length = std::min(most, ring.size());
+    for (std::size_t i = 0; length > draw_from && i < draws_most && poor < 2; ++i) {
+      int n = ring[(start + static_cast<std::size_t>(draw(chance) * length)) % ring.size()];
+      if (!may(n) || !has_room(n, now) || resting(n, now)) continue;
+      if (!well(n, now) || (careful && nodes_[n].dead_run > 0)) ++poor;
+      else if (wait(n, now) <= longest && (found[close].empty() || found[close][0] != n))
+        found[close].push_back(n);
+      if (found[close].size() == 2) break;
+    }
+    if (found[close].size() == 2) {
+      usable += ring.size();
+      continue;
+    }
+    found[close].clear();
     for (std::size_t i = 0; i < ring.size() && used < most; ++i) {
       int n = ring[(start + i) % ring.size()];
       if (!may(n) || !has_room(n, now) || resting(n, now)) continue;
@@ -792,6 +816,7 @@
 // can carry without working harder than `most_load` times a usual machine; they count by their warmth.
 double Txns::trial_share(Span now) {
   int newest = nodes_.newest();
+  if (!nodes_.older()) return 1;
   const auto& nodes = nodes_.all();
   double young = 0, old = 0, all = 0;
   for (int n = 0; n < static_cast<int>(nodes.size()); ++n) {
@@ -800,7 +825,6 @@
     if (nodes[n].build != newest) old += nodes[n].size;
     else if (!nodes_.resting(n, now) && nodes_.well(n, now)) young += nodes[n].size * nodes_.warmth(n, now);
   }
-  if (old == 0) return 1;
   // While txns are declined all machines share alike: full ones would look slow beside idle ones.
   double places = exposure_.in_place() || count(declined_) > declined_few ? all : std::max(old, young);
   double able = std::min(1.0, most_load * young / places);
--- a/src/logic.h
+++ b/src/logic.h
@@ -33,6 +33,7 @@
   bool well(int node, Span now);
   double warmth(int node, Span now) const;
   int newest() const { return newest_; }
+  bool older() const { return !rings_[0][0].empty() || !rings_[0][1].empty(); }
   double able(Span now) const;
   double cost(int node, Span now);
   Span wait(int node, Span now);
@@ -46,6 +47,8 @@
   std::size_t reach(Span now) const;
   int better_of_two(const std::vector<int>& among, Span now, Chance& chance);
   Span patience();
+  const Lately& lately(int node, Span now);
+  int warm();
 
   NodeSettings settings_;
   std::vector<Product> products_;
@@ -53,6 +56,7 @@
   std::vector<Spread> took_, per_hint_;  // how long answers took: ms, and for each ms of hinted work
   std::deque<std::pair<Span, int>> settled_{};
   int warm_ = 0, newest_ = -1;
+  std::optional<Span> warm_asked_{};
   std::vector<int> rings_[2][2]{};  // open nodes by order: of the newest build or not, near or not
   Samples<Span> sent_;
   Samples<char> refused_;
--- a/src/state.h
+++ b/src/state.h
@@ -129,6 +129,13 @@
   bool timed;   // not an error: those may come at once
 };
 
+// Sums over a node's young results, newest first; kept until one of them grows old or another comes.
+struct Lately {
+  std::size_t failed = 0, young = 0;
+  Span last_failed{}, until{};
+  double took = 0, in_hand = 0, ratios = 0;
+};
+
 struct Node : NodeNews {
   bool listed = false;
   int dead_run = 0;                            // submissions lost in a row without any reply
@@ -140,6 +147,7 @@
   std::vector<Span> out{};   // when the submissions still out were sent
   std::deque<Span> sends{};  // sends within the rule's window while cold
   Samples<Result> results{0};
+  std::optional<Lately> lately{};
   Load load{};
   Span load_at = long_ago;
 };
--- a/src/umpire/router.cpp
+++ b/src/umpire/router.cpp
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <cmath>
 
 #include "json/fields.h"
@@ -447,6 +448,14 @@
                                                            {"release_news", c.release_news},
                                                            {"wrong_reports", c.wrong_reports}})
     out.put(name, count);
+  // How late the last few thousand timers were.
+  std::vector<std::int32_t> late = loop_.lateness();
+  for (auto& [name, part] : {std::pair("wake_late_us_p50", 0.5), std::pair("wake_late_us_p99", 0.99)}) {
+    if (late.empty()) break;
+    auto at = late.begin() + static_cast<long>(part * static_cast<double>(late.size() - 1));
+    std::nth_element(late.begin(), at, late.end());
+    out.put(name, *at);
+  }
   out.open_list("nodes");
   for (const Peer& peer : peers_) {
     if (peer.phase == NodePhase::out || !peer.caller) continue;
