--- /dev/null
+++ b/src/steps/core.cpp
@@ -0,0 +1,268 @@
+#include "steps/core.h"
+
+#include <algorithm>
+
+namespace robinhoist::steps {
+namespace {
+using namespace std::chrono_literals;
+// A data step backs off while more than this part of the txns do poorly: its pause between batches doubles, and
+// shrinks by a quarter with each word that all is well.
+constexpr double poorly_most = 0.02;
+constexpr long txns_enough = 20;
+constexpr Span throttle_least = 20ms, throttle_most = 5s;
+}  // namespace
+
+Core::Core(Plan plan) : plan_(std::move(plan)), progress_(plan_.steps.size()) {}
+
+int Core::step(const std::string& id) const {
+  for (std::size_t i = 0; i < plan_.steps.size(); ++i)
+    if (plan_.steps[i].id == id) return static_cast<int>(i);
+  return -1;
+}
+
+// A step that a wave needs runs while the wave before it goes on.
+bool Core::wanted(int i) const {
+  if (!release_.offered || release_.going_back || release_.withdrawn) return false;
+  const Step& step = plan_.steps[i];
+  if (step.phase == Phase::contract) return release_.final;
+  return step.phase == Phase::expand || release_.stage >= step.before_wave - 1;
+}
+
+bool Core::finished(int i) const {
+  const Progress& progress = progress_[i];
+  if (progress.skipped) return true;
+  return progress.fact == Fact::applied && (plan_.steps[i].check.empty() || progress.verified);
+}
+
+bool Core::to_undo(int i) const {
+  const Step& step = plan_.steps[i];
+  const Progress& progress = progress_[i];
+  if (step.phase == Phase::contract || progress.skipped || !step.undo_on_back) return false;
+  return progress.fact == Fact::applied || progress.fact == Fact::maybe_applied ||
+         progress.fact == Fact::maybe_undone || (progress.fact == Fact::not_applied && progress.after > 0);
+}
+
+std::optional<Todo> Core::run(int i, Direction direction) {
+  busy_ = true;
+  return Todo{Act::run, i, direction, progress_[i].tries + 1, progress_[i].after, ""};
+}
+
+// It may have run: that is looked into, never simply run again.
+std::optional<Todo> Core::resolve(int i, Direction direction) {
+  const Step& step = plan_.steps[i];
+  Progress& progress = progress_[i];
+  if (step.transactional || !step.check.empty()) {
+    busy_ = true;
+    return Todo{step.transactional ? Act::look_for_mark : Act::check, i, direction, progress.tries, 0, ""};
+  }
+  if (step.idempotent) return run(i, direction);
+  progress.stuck = progress.asked = true;
+  progress.why = "it may have run, nothing can tell, and it must not run twice";
+  return Todo{Act::ask_operator, i, direction, progress.tries, 0, progress.why};
+}
+
+std::optional<Todo> Core::forward(int i, Span now) {
+  Progress& progress = progress_[i];
+  if (progress.stuck || now < progress.retry_at) return {};
+  switch (progress.fact) {
+    case Fact::not_applied:
+    case Fact::undone:
+      if (plan_.steps[i].kind == Kind::data && progress.after > 0 && now < batch_at_) return {};
+      return run(i, Direction::apply);
+    case Fact::maybe_applied:
+      return resolve(i, Direction::apply);
+    case Fact::maybe_undone:
+      return resolve(i, Direction::undo);
+    case Fact::applied:
+      break;
+  }
+  busy_ = true;
+  return Todo{Act::verify, i, Direction::apply, progress.tries, 0, ""};
+}
+
+std::optional<Todo> Core::backward(int i, Span now) {
+  Progress& progress = progress_[i];
+  if (progress.stuck || now < progress.retry_at) return {};
+  if (progress.fact == Fact::maybe_applied) return resolve(i, Direction::apply);
+  if (progress.fact == Fact::maybe_undone) return resolve(i, Direction::undo);
+  return run(i, Direction::undo);
+}
+
+std::optional<Todo> Core::next(Span now) {
+  // One at a time, and none while another runner may hold the lease.
+  if (busy_ || paused_ || !leased_) return {};
+  const int count = static_cast<int>(plan_.steps.size());
+  if (release_.withdrawn) {
+    for (int i = count - 1; i >= 0; --i)
+      if (to_undo(i)) return backward(i, now);
+    return {};
+  }
+  // Strictly in order: what is not wanted yet, or stands still, holds up all that follows.
+  for (int i = 0; i < count && wanted(i); ++i)
+    if (!finished(i)) return forward(i, now);
+  return {};
+}
+
+std::optional<Span> Core::next_look() const {
+  std::optional<Span> at;
+  for (const Progress& progress : progress_)
+    if (!progress.stuck && progress.retry_at > Span{} && (!at || progress.retry_at < *at)) at = progress.retry_at;
+  if (batch_at_ > Span{} && (!at || batch_at_ < *at)) at = batch_at_;
+  return at;
+}
+
+void Core::again(Progress& progress, const Step& step, Span now) {
+  ++progress.tries;
+  Span pause = step.pause_least;
+  for (int i = 1; i < progress.tries && pause < step.pause_most; ++i) pause *= 2;
+  // Spread by the step's own digest: the same events give the same pauses, and not all steps the same.
+  const int part = step.digest.empty() ? 0 : step.digest[progress.tries % step.digest.size()] % 16;
+  pause = std::min(pause, step.pause_most);
+  progress.retry_at = now + pause / 2 + pause * part / 32;
+}
+
+void Core::ended(int i, Direction direction, Result result, std::int64_t after, const std::string& why, Span now) {
+  busy_ = false;
+  Progress& progress = progress_[i];
+  const Step& step = plan_.steps[i];
+  progress.why = why;
+  replay_ended(i, direction, result, after);
+  switch (result) {
+    case Result::done:
+    case Result::more:
+      progress.tries = 0;
+      progress.retry_at = Span{};
+      batch_at_ = now + throttle_;
+      break;
+    case Result::not_run:
+    case Result::unknown:
+      again(progress, step, now);
+      if (result == Result::not_run && progress.tries >= step.tries) progress.stuck = true;
+      break;
+    case Result::fenced:
+      leased_ = false;
+      break;
+  }
+}
+
+void Core::looked(int i, Answer applied, std::int64_t after, const std::string& why, Span now) {
+  busy_ = false;
+  Progress& progress = progress_[i];
+  progress.why = why;
+  const bool verifying = progress.fact == Fact::applied;
+  replay_looked(i, applied, after);
+  if (applied == Answer::unknown) {
+    again(progress, plan_.steps[i], now);
+  } else if (verifying && applied == Answer::no) {
+    progress.stuck = true;
+    progress.why = "it was applied, but its check says that it is not";
+  } else {
+    progress.retry_at = Span{};
+  }
+}
+
+void Core::replay_intent(int i, Direction direction) {
+  Progress& progress = progress_[i];
+  progress.fact = direction == Direction::apply ? Fact::maybe_applied : Fact::maybe_undone;
+  progress.verified = false;
+}
+
+void Core::replay_ended(int i, Direction direction, Result result, std::int64_t after) {
+  Progress& progress = progress_[i];
+  const bool apply = direction == Direction::apply;
+  switch (result) {
+    case Result::done:
+      progress.fact = apply ? Fact::applied : Fact::undone;
+      progress.after = apply ? after : 0;
+      progress.verified = false;
+      break;
+    case Result::more:
+      progress.fact = Fact::not_applied;
+      progress.after = after;
+      break;
+    case Result::not_run:
+    case Result::fenced:
+      // A try to undo part of a data step that changed nothing leaves that part.
+      progress.fact = apply || progress.after > 0 ? Fact::not_applied : Fact::applied;
+      if (!apply && plan_.steps[i].kind == Kind::schema) progress.fact = Fact::applied;
+      break;
+    case Result::unknown:
+      progress.fact = apply ? Fact::maybe_applied : Fact::maybe_undone;
+      break;
+  }
+}
+
+void Core::replay_looked(int i, Answer applied, std::int64_t after) {
+  Progress& progress = progress_[i];
+  if (applied == Answer::unknown) return;
+  if (progress.fact == Fact::applied) {
+    progress.verified = applied == Answer::yes;
+    return;
+  }
+  const bool undone = progress.fact == Fact::maybe_undone;
+  progress.fact = applied == Answer::yes ? Fact::applied : undone ? Fact::undone : Fact::not_applied;
+  progress.after = undone && applied == Answer::no ? 0 : after;
+}
+
+void Core::patients(long txns, long poorly, Span now) {
+  if (txns < txns_enough) return;
+  if (static_cast<double>(poorly) > poorly_most * static_cast<double>(txns))
+    throttle_ = std::min(throttle_most, std::max(throttle_least, 2 * throttle_));
+  else throttle_ = throttle_ * 3 / 4 < throttle_least / 2 ? Span{} : throttle_ * 3 / 4;
+  batch_at_ = std::min(std::max(batch_at_, now), now + throttle_);
+}
+
+bool Core::retry(int i) {
+  Progress& progress = progress_[i];
+  if (!progress.stuck && progress.retry_at == Span{}) return false;
+  if (progress.asked && progress.fact == Fact::maybe_applied) progress.fact = Fact::not_applied;
+  if (progress.asked && progress.fact == Fact::maybe_undone) progress.fact = Fact::applied;
+  progress.stuck = progress.asked = false;
+  progress.tries = 0;
+  progress.retry_at = Span{};
+  return true;
+}
+
+void Core::skip_now(int i) {
+  Progress& progress = progress_[i];
+  progress.skipped = true;
+  progress.stuck = progress.asked = false;
+  progress.retry_at = Span{};
+}
+
+bool Core::skip(int i) {
+  if (finished(i) || busy_) return false;
+  skip_now(i);
+  return true;
+}
+
+bool Core::allows(int stage, std::string* why) const {
+  for (std::size_t i = 0; i < plan_.steps.size(); ++i) {
+    const Step& step = plan_.steps[i];
+    const bool needed =
+        step.phase == Phase::expand || (step.phase == Phase::migrate && step.before_wave <= stage);
+    if (!needed || finished(static_cast<int>(i))) continue;
+    if (why) *why = "step " + step.id + " is not done (" + word(progress_[i].fact) + ")";
+    return false;
+  }
+  return true;
+}
+
+bool Core::settled() const {
+  for (int i = 0; i < static_cast<int>(plan_.steps.size()); ++i) {
+    if (release_.withdrawn ? to_undo(i) : wanted(i) && !finished(i)) return false;
+  }
+  return true;
+}
+
+const char* word(Fact fact) {
+  static const char* const words[] = {"not applied", "may be applied", "applied", "may be undone", "undone"};
+  return words[static_cast<int>(fact)];
+}
+
+const char* word(Result result) {
+  static const char* const words[] = {"done", "more", "not-run", "unknown", "fenced"};
+  return words[static_cast<int>(result)];
+}
+
+}  // namespace robinhoist::steps
--- /dev/null
+++ b/src/steps/core.h
@@ -0,0 +1,109 @@
+// Decides which step of a plan runs next, what may be repeated, what must be checked first, and which wave may
+// take traffic. Free of I/O and clocks: inputs note what is known, next(now) hands out one thing to do at a
+// time. The host writes down each intent before it acts and each outcome after; after a crash it replays them.
+#pragma once
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "steps/plan.h"
+
+namespace robinhoist::steps {
+
+enum class Direction { apply, undo };
+// not_run: known to have changed nothing. unknown: it may have run. fenced: another runner has taken over.
+enum class Result { done, more, not_run, unknown, fenced };
+enum class Answer { yes, no, unknown };
+
+enum class Act { run, look_for_mark, check, verify, ask_operator };
+
+struct Todo {
+  Act act;
+  int step = -1;
+  Direction direction = Direction::apply;
+  int attempt = 0;
+  std::int64_t after = 0;  // data: where the next batch begins
+  std::string why{};       // ask_operator
+};
+
+// Where the release stands, as far as steps are concerned.
+struct Release {
+  int stage = -1;          // the wave now running; -1: none yet
+  bool offered = false;
+  bool going_back = false; // sent back; its machines still serve
+  bool withdrawn = false;  // sent back, and none of its machines serve any more
+  bool final = false;      // released, and can't be sent back
+  bool operator==(const Release&) const = default;
+};
+
+enum class Fact { not_applied, maybe_applied, applied, maybe_undone, undone };
+
+struct Progress {
+  Fact fact = Fact::not_applied;
+  bool verified = false, stuck = false, skipped = false, asked = false;
+  int tries = 0;               // that failed in a row
+  Span retry_at{};
+  std::int64_t after = 0;      // the cursor of a data step
+  std::string why{};
+};
+
+class Core {
+ public:
+  explicit Core(Plan plan);
+
+  // Inputs.
+  void release(const Release& release) { release_ = release; }
+  void lease(bool held) { leased_ = held; }
+  void ended(int step, Direction direction, Result result, std::int64_t after, const std::string& why, Span now);
+  void looked(int step, Answer applied, std::int64_t after, const std::string& why, Span now);
+  void pause(bool on) { paused_ = on; }
+  // Of the umpires' txns since the last word: how many, and how many were late, declined or voided.
+  void patients(long txns, long poorly, Span now);
+  // The operator: try it again (it is known to be safe), or take it as done.
+  bool retry(int step);
+  bool skip(int step);
+  // Replay after a start: what was written down, in order.
+  void replay_intent(int step, Direction direction);
+  void replay_ended(int step, Direction direction, Result result, std::int64_t after);
+  void replay_looked(int step, Answer applied, std::int64_t after);
+  void replay_skipped(int step) { skip_now(step); }
+
+  // Decisions.
+  std::optional<Todo> next(Span now);
+  std::optional<Span> next_look() const;
+  // Whether a wave may take traffic; `why` says what is missing.
+  bool allows(int stage, std::string* why = nullptr) const;
+  // Nothing is left to do as things stand.
+  bool settled() const;
+
+  const Plan& plan() const { return plan_; }
+  const std::vector<Progress>& progress() const { return progress_; }
+  bool busy() const { return busy_; }
+  bool paused() const { return paused_; }
+  bool undoing() const { return release_.withdrawn; }
+  Span throttle() const { return throttle_; }
+  int step(const std::string& id) const;  // -1: none
+
+ private:
+  bool wanted(int step) const;
+  bool finished(int step) const;
+  bool to_undo(int step) const;
+  std::optional<Todo> forward(int step, Span now);
+  std::optional<Todo> backward(int step, Span now);
+  std::optional<Todo> resolve(int step, Direction direction);
+  std::optional<Todo> run(int step, Direction direction);
+  void again(Progress& progress, const Step& step, Span now);
+  void skip_now(int step);
+
+  Plan plan_;
+  std::vector<Progress> progress_;
+  Release release_{};
+  bool leased_ = false, paused_ = false, busy_ = false;
+  Span throttle_{}, batch_at_{};
+};
+
+const char* word(Fact fact);
+const char* word(Result result);
+
+}  // namespace robinhoist::steps
