--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -21,7 +21,7 @@
 constexpr double reach_pace = 2;  // submissions a second that an umpire's node should get from it,
 constexpr std::size_t reach_least = 4, reach_refused = 2;  // but so many nodes at least, or so few
 constexpr double refused_part = 0.15;                      // when this part of all connections is refused
-constexpr std::size_t draw_from = 64, draws_most = 16;  // drawn one by one: of more nodes than this
+constexpr std::size_t draw_from = 64, draws_most = 16;     // drawn one by one: of more nodes than this
 constexpr Span ask_pause_least = 400ms, ask_pause_most = 3s;
 }  // namespace
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -1,5 +1,6 @@
 #include "net/loop.h"
 
+#include <Poco/ErrorHandler.h>
 #include <Poco/Net/StreamSocketImpl.h>
 #include <sys/eventfd.h>
 #include <sys/timerfd.h>
@@ -14,6 +15,16 @@
 
 Span since(std::chrono::nanoseconds value) { return std::chrono::duration_cast<Span>(value); }
 
+// What one task throws must not cost the others their turn; it goes where the reactor sends what handlers
+// throw.
+void carry_out(const Loop::Task& task) {
+  try {
+    task();
+  } catch (const std::exception& bad) {
+    Poco::ErrorHandler::handle(bad);
+  }
+}
+
 void drain(int fd) {
   std::uint64_t count = 0;
   [[maybe_unused]] ssize_t got = ::read(fd, &count, sizeof count);
@@ -91,7 +102,7 @@
     const auto late = static_cast<std::int32_t>((now() - due.key().first).count());
     if (lateness_.size() < lateness_kept) lateness_.push_back(late);
     else lateness_[lateness_at_++ % lateness_kept] = late;
-    due.mapped()();
+    carry_out(due.mapped());
   }
   arm();
 }
@@ -112,7 +123,7 @@
     std::lock_guard lock(mutex_);
     tasks.swap(posted_);
   }
-  for (Task& task : tasks) task();
+  for (Task& task : tasks) carry_out(task);
 }
 
 void Loop::quit() {
@@ -123,14 +134,20 @@
   std::mutex mutex;
   std::condition_variable done;
   bool ready = false;
+  std::exception_ptr thrown;
   post([&] {
-    task();
+    try {
+      task();
+    } catch (...) {
+      thrown = std::current_exception();
+    }
     std::lock_guard lock(mutex);
     ready = true;
     done.notify_one();
   });
   std::unique_lock lock(mutex);
   done.wait(lock, [&] { return ready; });
+  if (thrown) std::rethrow_exception(thrown);
 }
 
 }  // namespace robinhoist::net
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -64,7 +64,8 @@
   void post(Task task);
   // From any thread: ends run() soon.
   void quit();
-  // From any thread but the loop's: runs there and waits until it is done.
+  // From any thread but the loop's: runs there and waits until it is done; what it throws
+  // comes out here.
   void call(const Task& task);
 
   // How late timers ran, for measurements: the last few thousand, in microseconds.
--- /dev/null
+++ b/src/standin/database.cpp
@@ -0,0 +1,260 @@
+#include "standin/database.h"
+
+#include <sqlite3.h>
+
+#include <csignal>
+#include <iostream>
+
+#include "json/fields.h"
+#include "log/log.h"
+#include "net/signals.h"
+
+namespace robinhoist::standin {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct Refused : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+void run_sql(sqlite3* db, const std::string& sql) {
+  char* error = nullptr;
+  if (sqlite3_exec(db, sql.c_str(), nullptr, nullptr, &error) == SQLITE_OK) return;
+  const std::string why = error ? error : "failed";
+  sqlite3_free(error);
+  throw Refused(why);
+}
+
+// One statement with named values; its first value, if any.
+std::optional<double> run_bound(sqlite3* db, const std::string& sql,
+                                std::initializer_list<std::pair<const char*, std::int64_t>> values,
+                                const std::string& mark = "") {
+  const char* rest = sql.c_str();
+  std::optional<double> first;
+  while (*rest) {
+    sqlite3_stmt* statement = nullptr;
+    if (sqlite3_prepare_v2(db, rest, -1, &statement, &rest) != SQLITE_OK) throw Refused(sqlite3_errmsg(db));
+    if (!statement) break;
+    for (auto& [name, value] : values)
+      if (int at = sqlite3_bind_parameter_index(statement, name)) sqlite3_bind_int64(statement, at, value);
+    if (int at = sqlite3_bind_parameter_index(statement, ":mark"))
+      sqlite3_bind_text(statement, at, mark.c_str(), -1, SQLITE_TRANSIENT);
+    int code;
+    while ((code = sqlite3_step(statement)) == SQLITE_ROW)
+      if (!first && sqlite3_column_type(statement, 0) != SQLITE_NULL)
+        first = sqlite3_column_double(statement, 0);
+    sqlite3_finalize(statement);
+    if (code != SQLITE_DONE) throw Refused(sqlite3_errmsg(db));
+  }
+  return first;
+}
+
+}  // namespace
+
+Database::Database(net::Loop& loop, const http::ServerSettings& server, const std::string& file,
+                   record::Writer* record)
+    : loop_(loop), record_(record) {
+  if (sqlite3_open(file.empty() ? ":memory:" : file.c_str(), &db_) != SQLITE_OK)
+    throw std::runtime_error("can't open " + file);
+  sqlite3_busy_timeout(db_, 1000);
+  run_sql(db_, "PRAGMA journal_mode=WAL");
+  run_sql(db_,
+          "CREATE TABLE IF NOT EXISTS rh_marks (mark TEXT PRIMARY KEY, digest TEXT, after INTEGER, whole "
+          "INTEGER);"
+          "CREATE TABLE IF NOT EXISTS rh_fence (id INTEGER PRIMARY KEY CHECK (id = 1), token INTEGER);"
+          "INSERT OR IGNORE INTO rh_fence VALUES (1, 0)");
+  server_ = std::make_unique<http::Server>(loop, server, [this](const http::ExchangePtr& e) { handle(e); });
+}
+
+Database::~Database() {
+  server_.reset();
+  sqlite3_close(db_);
+}
+
+void Database::fault(DbFault fault, int times, net::Span by) {
+  fault_ = fault;
+  fault_times_ = times;
+  fault_by_ = by;
+}
+
+std::optional<double> Database::ask(const std::string& statement) const {
+  try {
+    return run_bound(db_, statement, {}).value_or(0);
+  } catch (const Refused&) {
+    return {};
+  }
+}
+
+bool Database::execute(const std::string& statements) {
+  try {
+    run_sql(db_, statements);
+    return true;
+  } catch (const Refused&) {
+    return false;
+  }
+}
+
+void Database::note(const std::string& mark, bool undo, const char* how, std::int64_t after) {
+  const std::string what = mark + (undo ? " undo" : " apply");
+  if (ran_.empty() || ran_.back() != what || std::string(how) != "more") ran_.push_back(what);
+  if (record_)
+    record_->line(json::Out()
+                      .open()
+                      .put("t", static_cast<long>(loop_.now().count()))
+                      .put("mark", mark)
+                      .put("undo", undo)
+                      .put("how", how)
+                      .put("after", static_cast<long>(after))
+                      .close()
+                      .text());
+}
+
+// Everything in one transaction: fence, mark, statement. Answers 200, 409 or 422.
+http::Response Database::run_now(const std::string& body) {
+  auto document = json::object_of(body);
+  const auto token = static_cast<std::int64_t>(json::number(document, "token"));
+  const std::string mark = json::text(document, "mark"), statement = json::text(document, "statement");
+  const bool undo = json::truth(document, "undo"), transactional = json::truth(document, "transactional");
+  const bool data = json::present(document, "table");
+  std::int64_t after = static_cast<std::int64_t>(json::number_or(document, "after", 0));
+  bool whole = true;
+  try {
+    run_sql(db_, "BEGIN IMMEDIATE");
+    if (run_bound(db_, "SELECT token FROM rh_fence", {}).value_or(0) > static_cast<double>(token)) {
+      run_sql(db_, "ROLLBACK");
+      return http::json_answer(409, "{\"result\":\"fenced\"}");
+    }
+    run_bound(db_, "UPDATE rh_fence SET token = :token", {{":token", token}});
+    if (!transactional) run_sql(db_, "COMMIT");
+    if (data && !undo) {
+      const std::string table = json::text(document, "table"), key = json::text(document, "key");
+      const int batch = json::whole(document, "batch", 1);
+      auto upto = run_bound(db_,
+                            "SELECT max(k) FROM (SELECT " + key + " AS k FROM " + table + " WHERE " + key +
+                                " > :after ORDER BY " + key + " LIMIT :batch)",
+                            {{":after", after}, {":batch", batch}});
+      if (upto) {
+        run_bound(db_, statement, {{":after", after}, {":upto", static_cast<std::int64_t>(*upto)}});
+        after = static_cast<std::int64_t>(*upto);
+        whole = !run_bound(db_, "SELECT 1 FROM " + table + " WHERE " + key + " > :after LIMIT 1",
+                           {{":after", after}});
+      }
+    } else {
+      run_sql(db_, statement);
+    }
+    if (fault_ == DbFault::error_inside && fault_times_ > 0) {
+      --fault_times_;
+      throw Refused("told to fail");
+    }
+    if (transactional) {
+      if (undo) run_bound(db_, "DELETE FROM rh_marks WHERE mark = :mark", {}, mark);
+      else
+        run_bound(
+            db_,
+            "INSERT INTO rh_marks VALUES (:mark, '', :after, :whole) ON CONFLICT (mark) DO UPDATE SET after "
+            "= excluded.after, whole = excluded.whole",
+            {{":after", after}, {":whole", whole}}, mark);
+      run_sql(db_, "COMMIT");
+    }
+  } catch (const Refused& bad) {
+    if (sqlite3_get_autocommit(db_) == 0) run_sql(db_, "ROLLBACK");
+    // Outside a transaction nothing can be said of what was done before it failed.
+    return http::json_answer(transactional ? 422 : 500,
+                             json::Out().open().put("why", bad.what()).close().text());
+  }
+  note(mark, undo, whole ? "done" : "more", after);
+  return http::json_answer(200, json::Out()
+                                    .open()
+                                    .put("result", whole ? "done" : "more")
+                                    .put("after", static_cast<long>(after))
+                                    .close()
+                                    .text());
+}
+
+void Database::run(const http::ExchangePtr& exchange) {
+  const DbFault fault = fault_times_ > 0 ? fault_ : DbFault::none;
+  if (fault != DbFault::none && fault != DbFault::error_inside) --fault_times_;
+  switch (fault) {
+    case DbFault::hang:
+      exchange->on_gone = [keep = exchange]() mutable { keep.reset(); };
+      return;
+    case DbFault::refuse:
+      return exchange->answer(http::json_answer(422, "{\"why\":\"told to refuse\"}"));
+    case DbFault::locked:
+      return exchange->answer(http::json_answer(422, "{\"why\":\"the lock did not come in time\"}"));
+    case DbFault::drop_on_commit:
+      run_now(exchange->request.body);
+      return exchange->hang_up();
+    case DbFault::late: {
+      auto response = run_now(exchange->request.body);
+      loop_.in(fault_by_, [exchange, response] { exchange->answer(response); });
+      return;
+    }
+    default:
+      return exchange->answer(run_now(exchange->request.body));
+  }
+}
+
+void Database::handle(const http::ExchangePtr& exchange) {
+  const http::Request& request = exchange->request;
+  const std::string path(request.path());
+  try {
+    if (request.method == "GET" && path == "/health")
+      return exchange->answer(http::text_answer(200, "well\n"));
+    if (path == "/v1/steps/run") return run(exchange);
+    auto document = json::object_of(request.body);
+    if (path == "/v1/steps/mark") {
+      const std::string mark = json::text(document, "mark");
+      const auto whole = run_bound(db_, "SELECT whole FROM rh_marks WHERE mark = :mark", {}, mark);
+      const auto after = run_bound(db_, "SELECT after FROM rh_marks WHERE mark = :mark", {}, mark);
+      return exchange->answer(http::json_answer(200, json::Out()
+                                                         .open()
+                                                         .put("applied", whole.value_or(0) != 0)
+                                                         .put("after", static_cast<long>(after.value_or(0)))
+                                                         .close()
+                                                         .text()));
+    }
+    if (path == "/v1/query") {
+      const auto value = run_bound(db_, json::text(document, "statement"), {});
+      return exchange->answer(
+          http::json_answer(200, json::Out().open().put("value", value.value_or(0)).close().text()));
+    }
+    if (path == "/faults") {
+      const DbFault kind = json::word<DbFault>(document, "is",
+                                               {{"none", DbFault::none},
+                                                {"hang", DbFault::hang},
+                                                {"refuse", DbFault::refuse},
+                                                {"error-inside", DbFault::error_inside},
+                                                {"drop-on-commit", DbFault::drop_on_commit},
+                                                {"late", DbFault::late},
+                                                {"locked", DbFault::locked}});
+      fault(kind, json::whole(document, "times"), json::span(json::number_or(document, "by_ms", 0)));
+      return exchange->answer(http::json_answer(200, "{}"));
+    }
+  } catch (const Refused& bad) {
+    return exchange->answer(http::json_answer(422, json::Out().open().put("why", bad.what()).close().text()));
+  } catch (const json::BadInput& bad) {
+    return exchange->answer(http::json_answer(422, json::Out().open().put("why", bad.what()).close().text()));
+  }
+  exchange->answer(http::text_answer(404, "no such thing here\n"));
+}
+
+int run_database(const std::string& listen, const std::string& file, const std::string& setup) {
+  log::Log log("standin-db");
+  net::Loop loop(net::steady_now());
+  net::Signals signals(loop, {SIGTERM, SIGINT}, [&](int) { loop.quit(); });
+  std::signal(SIGPIPE, SIG_IGN);
+  http::ServerSettings server;
+  server.listen = listen;
+  Database database(loop, server, file, nullptr);
+  if (!setup.empty() && !database.execute(setup)) {
+    std::cerr << "standin-db: the set-up statements fail\n";
+    return 2;
+  }
+  log.info("serves", {{"port", log::text(database.port())}});
+  loop.run();
+  return 0;
+}
+
+}  // namespace robinhoist::standin
--- a/src/steps/core.cpp
+++ b/src/steps/core.cpp
@@ -5,8 +5,8 @@
 namespace robinhoist::steps {
 namespace {
 using namespace std::chrono_literals;
-// A data step backs off while more than this part of the txns do poorly: its pause between batches doubles, and
-// shrinks by a quarter with each word that all is well.
+// A data step backs off while more than this part of the txns do poorly: its pause between batches doubles,
+// and shrinks by a quarter with each word that all is well.
 constexpr double poorly_most = 0.02;
 constexpr long txns_enough = 20;
 constexpr Span throttle_least = 20ms, throttle_most = 5s;
@@ -106,7 +106,8 @@
 std::optional<Span> Core::next_look() const {
   std::optional<Span> at;
   for (const Progress& progress : progress_)
-    if (!progress.stuck && progress.retry_at > Span{} && (!at || progress.retry_at < *at)) at = progress.retry_at;
+    if (!progress.stuck && progress.retry_at > Span{} && (!at || progress.retry_at < *at))
+      at = progress.retry_at;
   if (batch_at_ > Span{} && (!at || batch_at_ < *at)) at = batch_at_;
   return at;
 }
@@ -121,7 +122,8 @@
   progress.retry_at = now + pause / 2 + pause * part / 32;
 }
 
-void Core::ended(int i, Direction direction, Result result, std::int64_t after, const std::string& why, Span now) {
+void Core::ended(int i, Direction direction, Result result, std::int64_t after, const std::string& why,
+                 Span now) {
   busy_ = false;
   Progress& progress = progress_[i];
   const Step& step = plan_.steps[i];
@@ -173,6 +175,7 @@
   switch (result) {
     case Result::done:
       progress.fact = apply ? Fact::applied : Fact::undone;
+      progress.whole = apply;
       progress.after = apply ? after : 0;
       progress.verified = false;
       break;
@@ -182,9 +185,8 @@
       break;
     case Result::not_run:
     case Result::fenced:
-      // A try to undo part of a data step that changed nothing leaves that part.
-      progress.fact = apply || progress.after > 0 ? Fact::not_applied : Fact::applied;
-      if (!apply && plan_.steps[i].kind == Kind::schema) progress.fact = Fact::applied;
+      // An undo that changed nothing leaves what was there: all of the step, or the part that a back cut off.
+      progress.fact = !apply && progress.whole ? Fact::applied : Fact::not_applied;
       break;
     case Result::unknown:
       progress.fact = apply ? Fact::maybe_applied : Fact::maybe_undone;
@@ -200,8 +202,15 @@
     return;
   }
   const bool undone = progress.fact == Fact::maybe_undone;
-  progress.fact = applied == Answer::yes ? Fact::applied : undone ? Fact::undone : Fact::not_applied;
-  progress.after = undone && applied == Answer::no ? 0 : after;
+  if (applied == Answer::yes) {
+    progress.fact = undone && !progress.whole ? Fact::not_applied : Fact::applied;
+    progress.whole |= !undone;
+  } else {
+    // Not whole, but with a cursor: the part that was there before the undo is there still.
+    progress.fact = undone && after == 0 ? Fact::undone : Fact::not_applied;
+    progress.whole = false;
+    progress.after = after;
+  }
 }
 
 void Core::patients(long txns, long poorly, Span now) {
@@ -216,7 +225,8 @@
   Progress& progress = progress_[i];
   if (!progress.stuck && progress.retry_at == Span{}) return false;
   if (progress.asked && progress.fact == Fact::maybe_applied) progress.fact = Fact::not_applied;
-  if (progress.asked && progress.fact == Fact::maybe_undone) progress.fact = Fact::applied;
+  if (progress.asked && progress.fact == Fact::maybe_undone)
+    progress.fact = progress.whole ? Fact::applied : Fact::not_applied;
   progress.stuck = progress.asked = false;
   progress.tries = 0;
   progress.retry_at = Span{};
@@ -231,7 +241,7 @@
 }
 
 bool Core::skip(int i) {
-  if (finished(i) || busy_) return false;
+  if (busy_ || (release_.withdrawn ? !to_undo(i) : finished(i))) return false;
   skip_now(i);
   return true;
 }
--- a/src/steps/core.h
+++ b/src/steps/core.h
@@ -1,6 +1,7 @@
-// Decides which step of a plan runs next, what may be repeated, what must be checked first, and which wave may
-// take traffic. Free of I/O and clocks: inputs note what is known, next(now) hands out one thing to do at a
-// time. The host writes down each intent before it acts and each outcome after; after a crash it replays them.
+// Decides which step of a plan runs next, what may be repeated, what must be checked first, and which wave
+// may take traffic. Free of I/O and clocks: inputs note what is known, next(now) hands out one thing to do at
+// a time. The host writes down each intent before it acts and each outcome after; after a crash it replays
+// them.
 #pragma once
 #include <cstdint>
 #include <optional>
@@ -29,11 +30,11 @@
 
 // Where the release stands, as far as steps are concerned.
 struct Release {
-  int stage = -1;          // the wave now running; -1: none yet
+  int stage = -1;  // the wave now running; -1: none yet
   bool offered = false;
-  bool going_back = false; // sent back; its machines still serve
-  bool withdrawn = false;  // sent back, and none of its machines serve any more
-  bool final = false;      // released, and can't be sent back
+  bool going_back = false;  // sent back; its machines still serve
+  bool withdrawn = false;   // sent back, and none of its machines serve any more
+  bool final = false;       // released, and can't be sent back
   bool operator==(const Release&) const = default;
 };
 
@@ -41,10 +42,11 @@
 
 struct Progress {
   Fact fact = Fact::not_applied;
+  bool whole = false;  // it has been applied to its end, whatever an undo has done since
   bool verified = false, stuck = false, skipped = false, asked = false;
-  int tries = 0;               // that failed in a row
+  int tries = 0;  // that failed in a row
   Span retry_at{};
-  std::int64_t after = 0;      // the cursor of a data step
+  std::int64_t after = 0;  // the cursor of a data step
   std::string why{};
 };
 
@@ -55,7 +57,8 @@
   // Inputs.
   void release(const Release& release) { release_ = release; }
   void lease(bool held) { leased_ = held; }
-  void ended(int step, Direction direction, Result result, std::int64_t after, const std::string& why, Span now);
+  void ended(int step, Direction direction, Result result, std::int64_t after, const std::string& why,
+             Span now);
   void looked(int step, Answer applied, std::int64_t after, const std::string& why, Span now);
   void pause(bool on) { paused_ = on; }
   // Of the umpires' txns since the last word: how many, and how many were late, declined or voided.
--- a/src/steps/plan.cpp
+++ b/src/steps/plan.cpp
@@ -34,16 +34,17 @@
   if (step.phase == Phase::migrate) {
     step.before_wave = form.whole("before-wave", 0, 1000);
     if (step.before_wave < 1 || step.before_wave >= waves)
-      form.problem("before-wave", "wave " + std::to_string(step.before_wave) + " is none of those between 1 and " +
-                                      std::to_string(waves - 1));
+      form.problem("before-wave", "wave " + std::to_string(step.before_wave) +
+                                      " is none of those between 1 and " + std::to_string(waves - 1));
   } else if (form.has("before-wave")) {
     form.problem("before-wave", "has a meaning for a migrate step only");
   }
   step.apply = form.text("apply");
   step.undo = form.text("undo", "");
   step.check = form.text("check", "");
-  step.undo_on_back = form.word<bool>("on-back", {{"keep", false}, {"undo", true}},
-                                      step.phase == Phase::contract ? std::optional<bool>(false) : std::nullopt);
+  step.undo_on_back =
+      form.word<bool>("on-back", {{"keep", false}, {"undo", true}},
+                      step.phase == Phase::contract ? std::optional<bool>(false) : std::nullopt);
   if (step.undo_on_back && step.undo.empty())
     form.problem("undo is missing: a wave may still go back, and on-back says undo");
   if (step.phase == Phase::contract && step.undo_on_back)
@@ -121,9 +122,9 @@
                    [&](std::size_t a, std::size_t b) { return rank(plan.steps[a]) < rank(plan.steps[b]); });
   while (!left.empty()) {
     auto ready = std::find_if(left.begin(), left.end(), [&](std::size_t i) {
-      return std::all_of(plan.steps[i].needs.begin(), plan.steps[i].needs.end(), [&](const std::string& need) {
-        return placed.count(need) > 0 || place.count(need) == 0;
-      });
+      return std::all_of(
+          plan.steps[i].needs.begin(), plan.steps[i].needs.end(),
+          [&](const std::string& need) { return placed.count(need) > 0 || place.count(need) == 0; });
     });
     if (ready == left.end()) {
       forms[left.front()].problem("needs itself, by way of the steps that it needs");
--- a/src/steps/plan.h
+++ b/src/steps/plan.h
@@ -21,19 +21,19 @@
   std::string id{};
   Kind kind = Kind::schema;
   Phase phase = Phase::expand;
-  int before_wave = 0;            // for migrate
-  std::string apply{}, undo{};    // statements; a data step's bind :after and :upto
-  std::string check{};            // a query whose first value says whether it is applied; empty: none
-  std::string table{}, key{};     // data: the rows go by this whole-number key
-  int batch = 0;                  // data: rows a batch
-  bool undo_on_back = false;      // else it is left standing when the release is sent back
-  bool idempotent = false;        // may run twice
-  bool transactional = true;      // the target takes its mark in the same transaction
+  int before_wave = 0;          // for migrate
+  std::string apply{}, undo{};  // statements; a data step's bind :after and :upto
+  std::string check{};          // a query whose first value says whether it is applied; empty: none
+  std::string table{}, key{};   // data: the rows go by this whole-number key
+  int batch = 0;                // data: rows a batch
+  bool undo_on_back = false;    // else it is left standing when the release is sent back
+  bool idempotent = false;      // may run twice
+  bool transactional = true;    // the target takes its mark in the same transaction
   Span timeout{}, lock_timeout{};
   int tries = 1;
   Span pause_least{}, pause_most{};
   std::vector<std::string> needs{};
-  std::string digest{};           // of what it does
+  std::string digest{};  // of what it does
 };
 
 struct Plan {
@@ -41,8 +41,8 @@
   std::vector<Step> steps{};  // in the order in which they run
 };
 
-// What is wrong is left with the form. `waves` is how many there are; `applied` gives the digests of steps that
-// have once been applied, by "build/id": the same id with other content is refused.
+// What is wrong is left with the form. `waves` is how many there are; `applied` gives the digests of steps
+// that have once been applied, by "build/id": the same id with other content is refused.
 Plan read(settings::Form form, int waves, const std::map<std::string, std::string>& applied = {});
 const char* word(Phase phase);
 
--- /dev/null
+++ b/src/steps/target.h
@@ -0,0 +1,31 @@
+// Where steps run: a database that can take a step's mark in the step's own transaction, and refuses a runner
+// whose token is older than one that it has seen. Reached over HTTP:
+//   POST /v1/steps/run   {token, mark, digest, undo, statement, transactional, table, key, batch, after,
+//   lock_ms}
+//        200 {result: done|more, after}   409 fenced   422 {why} known to have changed nothing
+//   POST /v1/steps/mark  {token, mark}      200 {applied, after}
+//   POST /v1/query       {statement}        200 {value}
+#pragma once
+#include <functional>
+#include <string>
+
+#include "http/caller.h"
+#include "steps/core.h"
+
+namespace robinhoist::steps {
+
+class Target {
+ public:
+  using Ran = std::function<void(Result, std::int64_t after, const std::string& why)>;
+  using Looked = std::function<void(Answer, std::int64_t after, const std::string& why)>;
+  Target(net::Loop& loop, const std::string& address);
+  void run(const Plan& plan, const Step& step, Direction direction, std::int64_t after, std::int64_t token,
+           Ran ran);
+  void mark(const Plan& plan, const Step& step, std::int64_t token, Looked looked);
+  void check(const Step& step, Looked looked);
+
+ private:
+  http::Caller caller_;
+};
+
+}  // namespace robinhoist::steps
