Steps joined to the controller: gated waves, state that outlives it, robinhoist steps

Umpires tell how their txns do once a second, and backfills back off by it.

Servers and database are stand-ins.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -3,9 +3,11 @@
 #include <iostream>
 
 #include "audit/audit.h"
+#include "cli/steps.h"
 #include "controller/process.h"
 #include "day/play.h"
 #include "standin/agent.h"
+#include "standin/database.h"
 #include "umpire/process.h"
 
 namespace {
@@ -90,8 +92,17 @@
   days->add_option("--out", out, "Folder for the record (default found/day-SEED)");
   CLI::App* audits = app.add_subcommand("audit", "Check a day's record against the five rules");
   audits->add_option("DIR", config, "The folder of the record")->required();
-  CLI11_PARSE(app, argc, argv);
+  CLI::App* database = app.add_subcommand("standin-db", "Run the stand-in database that steps run against");
+  std::string listen = "127.0.0.1:8092", setup;
+  database->add_option("--listen", listen, "Its address")->capture_default_str();
+  database->add_option("--file", out, "An SQLite file; memory without");
+  database->add_option("--setup", setup, "Statements to begin with");
+  int steps = 0;
   try {
+    rh::cli::add_steps(app, steps);
+    CLI11_PARSE(app, argc, argv);
+    if (*app.get_subcommand("steps")) return steps;
+    if (*database) return rh::standin::run_database(listen, out, setup);
     if (*checks) return check(config);
     if (*audits) return audit(config);
     if (*days) return play(config, seed, out);
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -14,6 +14,7 @@
 #include "log/log.h"
 #include "rollout/news.h"
 #include "rollout/rollout.h"
+#include "steps/runner.h"
 
 namespace robinhoist::controller {
 
@@ -24,6 +25,10 @@
   rollout::Settings rollout{};
   int places = 1, build = 1, umpires = 1;
   std::string series{"1"};
+  std::string journal{};       // a file; empty: nothing outlives the process
+  std::string steps_target{};  // an address; empty: releases have no steps
+  Span lease{};
+  std::string who{"controller"};
 };
 
 // How the controller can fail its umpires, for trying it out.
@@ -40,7 +45,8 @@
              Told told = {}, Voted voted = {});
   ~Controller();
 
-  rollout::Rollout& core() { return core_; }
+  rollout::Rollout& core() { return *core_; }
+  steps::Runner* runner() { return runner_.get(); }
   // To be called after anything told to the core from outside.
   void pull();
   // News is told so much later from here on; the clock stands still while silent or failing.
@@ -65,6 +71,9 @@
   void answer(Waiting& waiting);
   void vote(const http::ExchangePtr& exchange);
   void act(const http::ExchangePtr& exchange, const std::string& what);
+  void steps(const http::ExchangePtr& exchange, const std::string& path);
+  bool tell_steps();
+  void keep();
   void publish();
   std::string shown() const;
   std::string taken_orders();
@@ -72,12 +81,13 @@
   net::Loop& loop_;
   Settings settings_;
   const log::Log& log_;
-  rollout::Rollout core_;
+  std::unique_ptr<rollout::Rollout> core_;
   Orders orders_;
   Told told_;
   Voted voted_;
   std::list<Waiting> waiting_{};
-  std::vector<rollout::Order> untaken_{};
+  std::vector<rollout::Order> untaken_{};  // for whoever fetches orders
+  std::vector<rollout::Order> untold_{};   // decided, but not yet on disk
   Published published_;
   int seen_version_ = 0;
   std::size_t seen_changes_ = 0;
@@ -86,6 +96,11 @@
   double count_share_ = 0;
   std::minstd_rand chance_{1};
   net::Loop::Timer look_ = net::Loop::no_timer;
+  std::unique_ptr<steps::Journal> journal_{};
+  std::unique_ptr<steps::Target> target_{};
+  std::unique_ptr<steps::Runner> runner_{};
+  std::map<std::pair<int, int>, bool> gates_{};  // by build and wave, as last told to the core
+  std::string kept_{};
   std::unique_ptr<http::Server> server_;
 };
 
--- a/src/controller/process.cpp
+++ b/src/controller/process.cpp
@@ -32,6 +32,14 @@
   to.server.listen = form.text("listen");
   to.places = form.whole("places", 1, 100000);
   to.build = form.whole("build", 1, 65535);
+  to.journal = form.text("journal", "");
+  to.who = form.text("name", "controller");
+  if (auto steps = form.maybe("steps")) {
+    to.steps_target = steps->text("target");
+    to.lease = steps->span("lease", std::chrono::milliseconds(100), std::chrono::hours(1), std::chrono::seconds(10));
+    steps->finish();
+    if (to.journal.empty()) form.problem("steps", "need a (journal FILE): what ran must outlive the process");
+  }
   form.finish();
   root.finish();
   to.umpires = deployment.umpires;
--- a/src/deployment/deployment.cpp
+++ b/src/deployment/deployment.cpp
@@ -85,6 +85,7 @@
   rollout.drain = form.span("drain", 0ms, 24h);
   if (rollout.drain < to.drain_grace)
     form.problem("drain", "is shorter than the drain-grace of the rules: work would be cut off");
+  rollout.back_for = form.span("back-for", 0ms, 8760h, 0ms);
   rollout.vote_life = form.span("vote-life", 1ms, 1h);
   rollout.to_advance = form.number("advance-share", 0, 1, 0.0);
   rollout.to_hold = form.number("hold-share", 0, 1, 0.1);
--- a/src/rollout/rollout.cpp
+++ b/src/rollout/rollout.cpp
@@ -18,13 +18,38 @@
   tokens_ = 2 * settings_.calls_per_s;
 }
 
+Rollout::Rollout(const Settings& settings, int places, int umpires, const Kept& kept, Span now)
+    : settings_(settings), places_(places), baseline_(kept.baseline), umpires_(umpires), build_(kept.build),
+      stage_(kept.stage), phase_(kept.phase), phase_at_(now - kept.since), ordered_at_(now), ticked_at_(now),
+      operator_holds_(kept.operator_holds), begun_(kept.begun), queued_(kept.queued),
+      newest_offered_(kept.newest_offered), next_machine_(kept.next_machine), machines_(kept.machines),
+      fates_(kept.fates), tokens_(2 * settings.calls_per_s), tokens_at_(now), version_(kept.version + 1) {
+  // Machines of a fleet that has shrunk or grown are a matter for the next release.
+  for (auto& [id, machine] : machines_) {
+    machine.since = now;
+    if (machine.phase == MachinePhase::ordered) orders_.push_back({OrderKind::start, id, machine.place, machine.build});
+    if (machine.phase == MachinePhase::draining) orders_.push_back({OrderKind::drain, id, machine.place, machine.build});
+  }
+}
+
+Kept Rollout::kept(Span now) const {
+  return {build_,        stage_, baseline_,       newest_offered_, next_machine_, version_, phase_,
+          now - phase_at_, begun_, operator_holds_, queued_,         machines_,     fates_};
+}
+
+bool Rollout::can_go_back(Span now) const {
+  if (build_ == baseline_ || phase_ == RelPhase::going_back || phase_ == RelPhase::withdrawn) return false;
+  return phase_ == RelPhase::trial ||
+         (!queued_ && (settings_.back_for == Span{} || now < phase_at_ + settings_.back_for));
+}
+
 int Rollout::needed(double share, int umpires) {
   return std::max(1, static_cast<int>(std::ceil(share * umpires - 1e-9)));
 }
 
 bool Rollout::gate(int stage) const {
   auto at = gates_.find({build_, stage});
-  return at == gates_.end() || at->second;
+  return at == gates_.end() ? !settings_.gated : at->second;
 }
 
 int Rollout::target(int stage) const {
@@ -119,7 +144,7 @@
       break;
     case Verdict::back:
       // A release that is out can be sent back until the next is offered.
-      if (!(trial || (phase_ == RelPhase::released && build != baseline_ && !queued_))) return Outcome::moot;
+      if (!can_go_back(now)) return Outcome::moot;
       break;
     case Verdict::none:
       break;
@@ -137,7 +162,7 @@
 }
 
 bool Rollout::back(const std::string& why, Span now) {
-  if (phase_ != RelPhase::trial && !(phase_ == RelPhase::released && build_ != baseline_)) return false;
+  if (!can_go_back(now)) return false;
   go_back(why, now);
   return true;
 }
@@ -220,8 +245,8 @@
         enter(RelPhase::released, stage_, "the last wave is over", now);
       }
     }
-  } else if (phase_ == RelPhase::released && build_ != baseline_ &&
-             standing(Verdict::back, now) >= needed(settings_.to_revert) && !queued_) {
+  } else if (phase_ == RelPhase::released && can_go_back(now) &&
+             standing(Verdict::back, now) >= needed(settings_.to_revert)) {
     go_back(std::to_string(standing(Verdict::back, now)) + " of " + std::to_string(umpires_) +
                 " umpires, after the release",
             now);
@@ -260,6 +285,7 @@
       orders_.push_back({OrderKind::stop, id, machine.place, machine.build});
     }
   if (queued_ && (phase_ == RelPhase::released || phase_ == RelPhase::withdrawn)) {
+    fates_[build_] = phase_;
     if (phase_ == RelPhase::released) baseline_ = build_;
     build_ = *queued_;
     queued_.reset();
--- a/src/rollout/rollout.h
+++ b/src/rollout/rollout.h
@@ -27,6 +27,8 @@
   Span vote_life{};
   double to_advance = 0, to_hold = 0, to_revert = 0;  // shares of all umpires
   double calls_per_s = 0;                             // votes taken from all; twice as many in a burst
+  Span back_for{};  // a release can be sent back for so long after it is out; 0: until the next is offered
+  bool gated = false;     // a wave waits until its gate has been opened; else until it has been shut
   bool in_place = false;  // each earlier machine drains once its successor runs; else all at the release
 };
 
@@ -59,11 +61,29 @@
   std::string why;
 };
 
+// What must outlive the controller's process. Clocks of a wave and votes do not: a wave that goes on after a
+// restart lasts its whole time again, and umpires renew their votes.
+struct Kept {
+  int build = -1, stage = 0, baseline = -1, newest_offered = 0, next_machine = 0, version = 1;
+  RelPhase phase = RelPhase::released;
+  Span since{};  // in this phase, when it was kept
+  bool begun = false, operator_holds = false;
+  std::optional<int> queued{};
+  std::map<int, Machine> machines{};
+  std::map<int, RelPhase> fates{};
+};
+std::string encoded(const Kept& kept);     // JSON
+Kept decoded_kept(const std::string& text);  // throws json::BadInput
+
 class Rollout {
  public:
   // The fleet starts with all places on `build`, machine ids being the places' numbers.
   Rollout(const Settings& settings, int places, int build, int umpires);
 
+  // Goes on from what was kept: what was ordered and not confirmed is ordered again.
+  Rollout(const Settings& settings, int places, int umpires, const Kept& kept, Span now);
+  Kept kept(Span now) const;
+
   // Inputs.
   // Refused, with the reason, unless the build is newer than any offered so far.
   std::optional<std::string> offer(int build, Span now);
@@ -92,6 +112,11 @@
   bool held(Span now) const;
   bool clock_runs() const { return clock_at_ != long_ago; }
   int baseline() const { return baseline_; }
+  // The wave that takes traffic; -1: none yet.
+  int running_stage() const { return begun_ || phase_ != RelPhase::trial ? stage_ : stage_ - 1; }
+  bool can_go_back(Span now) const;
+  // What became of builds offered before the present one.
+  const std::map<int, RelPhase>& fates() const { return fates_; }
   int needed(double share) const { return needed(share, umpires_); }
   static int needed(double share, int umpires);  // votes, one at least
 
@@ -119,6 +144,7 @@
   std::map<std::string, Vote> votes_{};
   std::map<std::pair<int, int>, bool> gates_{};
   std::vector<Change> changes_{};
+  std::map<int, RelPhase> fates_{};
   double tokens_ = 0;
   Span tokens_at_{};
   int version_ = 1;
--- a/src/standin/agent.cpp
+++ b/src/standin/agent.cpp
@@ -120,6 +120,7 @@
   void take(const json::Json& order) {
     const std::string is = json::text(order, "is");
     const int machine = json::whole(order, "machine");
+    if (is == "start" && entries_.count(machine) > 0) return report(machine, "up");  // told twice
     if (is == "start") {
       const int place = json::whole(order, "place"), number = json::whole(order, "build");
       loop_.in(settings_.boot, [this, machine, place, number] { boot(machine, place, number); });
--- a/src/steps/runner.cpp
+++ b/src/steps/runner.cpp
@@ -101,15 +101,14 @@
 }
 
 bool Runner::allows(int build, int stage, std::string* why) const {
-  const Run* run = find(build);
-  if (!run) return true;
   // While an earlier release still has steps to undo or to finish, the next does not start.
   for (auto& other : runs_)
     if (other->core.plan().build < build && !other->core.settled()) {
       if (why) *why = "build " + std::to_string(other->core.plan().build) + " still has steps to run";
       return false;
     }
-  return run->core.allows(stage, why);
+  const Run* run = find(build);
+  return !run || run->core.allows(stage, why);
 }
 
 void Runner::at(const char* point) const {
--- a/src/umpire/router.cpp
+++ b/src/umpire/router.cpp
@@ -13,6 +13,7 @@
 using namespace std::chrono_literals;
 
 constexpr Span tick = 1ms;        // the clock's grain, as the module is told it
+constexpr Span patients_every = 1s;  // how txns did, told to the controller
 constexpr Span index_kept = 60s;  // a node's index is given to another this long after it has left
 
 double number(std::string_view text, double absent) {
@@ -57,7 +58,19 @@
               deployment::txn_settings(settings.deployment, tick)),
       wall_start_(net::wall_now() - loop.now()) {}
 
-Router::~Router() { loop_.cancel(wake_); }
+Router::~Router() {
+  loop_.cancel(wake_);
+  loop_.cancel(tell_);
+}
+
+void Router::tell_patients() {
+  const Counters& c = counters_;
+  const long txns = c.settled + c.declined + c.voided, poorly = c.late + c.declined + c.voided;
+  if (txns > told_txns_) release_source_.patients(txns - told_txns_, poorly - told_poorly_);
+  told_txns_ = txns;
+  told_poorly_ = poorly;
+  tell_ = loop_.in(patients_every, [this] { tell_patients(); });
+}
 
 void Router::start() {
   if (!settings_.saved.empty()) {
@@ -82,6 +95,7 @@
   });
   server_ = std::make_unique<http::Server>(loop_, settings_.server,
                                            [this](const http::ExchangePtr& exchange) { take(exchange); });
+  tell_patients();
   pull();
 }
 
@@ -133,7 +147,7 @@
   txn.expiry = exchange->at + from_millis(std::min(remaining, most_ms)) - settings_.reserve;
   txn.txn = next_txn();
 
-  Held held{.exchange = exchange, .request = {}, .expiry = txn.expiry};
+  Held held{.exchange = exchange, .request = {}, .expiry = txn.expiry, .product = p};
   held.request.method = request.method;
   held.request.target = request.target;
   http::copy_end_to_end(request.headers, held.request.headers);
@@ -378,6 +392,7 @@
     passed.headers.add("Robinhoist-Build", std::to_string(peer.build));
     passed.body = std::move(response.body);
     ++counters_.settled;
+    counters_.late += loop_.now() - held.exchange->at > settings_.deployment.products[held.product].product.sla;
     end_txn(held, std::move(passed), "settled", "answered");
   }
   forget(txn);
--- a/src/umpire/router.h
+++ b/src/umpire/router.h
@@ -19,7 +19,7 @@
 
 struct Counters {
   long taken = 0, not_taken = 0, settled = 0, declined = 0, voided = 0, left = 0, submissions = 0,
-       cancels = 0, votes = 0, list_news = 0, release_news = 0, wrong_reports = 0;
+       cancels = 0, votes = 0, late = 0, list_news = 0, release_news = 0, wrong_reports = 0;
 };
 
 class Router {
@@ -62,6 +62,7 @@
     http::ExchangePtr exchange;
     http::Request request;  // as it goes to nodes
     Span expiry{};
+    int product = 0;
     std::vector<Out> submissions{};
     bool answered = false;
     Outcome last = Outcome::moot;
@@ -79,6 +80,7 @@
   void forget(int txn);
   void left(int txn);
   void check_drained();
+  void tell_patients();
   int next_txn();
 
   net::Loop& loop_;
@@ -96,7 +98,8 @@
   std::size_t unanswered_ = 0;
   int last_txn_ = 0;
   Span wall_start_;
-  net::Loop::Timer wake_ = net::Loop::no_timer;
+  net::Loop::Timer wake_ = net::Loop::no_timer, tell_ = net::Loop::no_timer;
+  long told_txns_ = 0, told_poorly_ = 0;
   bool pulling_ = false;
   std::function<void()> drained_{};
   std::string mode_{};
--- a/src/umpire/sources.h
+++ b/src/umpire/sources.h
@@ -29,6 +29,9 @@
   virtual void start(Heard heard) = 0;
   // The answer may never come; then `answered` says timeout, and the vote may count.
   virtual void vote(int build, int stage, Verdict verdict, Answered answered) = 0;
+  // How the umpire's txns did since its last word: all that ended, and those late, declined or voided. Steps that
+  // run beside patients back off by it.
+  virtual void patients(long txns, long poorly) = 0;
 };
 
 // One long poll after the other over HTTP: the service answers once there is something newer, or after the
@@ -75,6 +78,7 @@
                     net::Span vote_within, unsigned salt, const log::Log& log);
   void start(Heard heard) override;
   void vote(int build, int stage, Verdict verdict, Answered answered) override;
+  void patients(long txns, long poorly) override;
 
  private:
   bool take(const std::string& text);
--- a/tests/umpire_test.cpp
+++ b/tests/umpire_test.cpp
@@ -103,6 +103,7 @@
     votes.push_back(verdict);
     answered(Outcome::ok);
   }
+  void patients(long, long) override {}
 };
 
 const char* const settings_text = R"(
@@ -264,6 +265,28 @@
 INSTANTIATE_TEST_SUITE_P(All, UmpirePlay, testing::ValuesIn(tests::files_in(TESTS "/umpire", ".txt")),
                          tests::stem);
 
+// News that comes twice or out of order moves nothing back; another series starts anew.
+TEST(Sources, news_out_of_order_is_passed_over) {
+  net::Loop loop(net::steady_now());
+  log::Log log("test", "off");
+  std::vector<rollout::News> answers{{"s", 3, {2, 1, RelPhase::trial, 0.5, Span{}}},
+                                     {"s", 2, {2, 0, RelPhase::trial, 0.1, Span{}}},
+                                     {"s", 3, {2, 1, RelPhase::trial, 0.5, Span{}}},
+                                     {"t", 1, {2, 2, RelPhase::trial, 1, Span{}}}};
+  std::size_t next = 0;
+  std::vector<http::ExchangePtr> waiting;
+  http::Server server(loop, http::ServerSettings{}, [&](const http::ExchangePtr& exchange) {
+    if (next == answers.size()) return waiting.push_back(exchange);
+    exchange->answer(http::json_answer(200, rollout::encoded(answers[next++])));
+  });
+  umpire::HttpReleaseSource source(loop, "127.0.0.1:" + std::to_string(server.port()), "u", 1s, 1, log);
+  std::vector<int> stages;
+  source.start([&](const RelNews& rel) { stages.push_back(rel.stage); });
+  loop.in(300ms, [&] { loop.stop(); });
+  loop.run();
+  EXPECT_EQ(stages, (std::vector<int>{1, 1, 2}));
+}
+
 // Wake-ups are never early; how late they are is a matter of measurements.
 TEST(Loop, timers_run_in_order_and_not_early) {
   net::Loop loop(net::steady_now());
