--- a/src/audit/audit.cpp
+++ b/src/audit/audit.cpp
@@ -140,6 +140,12 @@
   void read_node(const json::Json& line) {
     const std::string what = json::text(line, "e");
     if (what == "ran") {
+      if (json::text_or(line, "how", "") == "unready") {
+        Rule& rule = report.steps;
+        if (rule.broken++ == 0)
+          rule.first = json::text(line, "node") + " answered at " + at_s(micros(line, "t")) +
+                       " without the tables that its build needs";
+      }
       if (json::truth(line, "effect"))
         record.effects.emplace_back(static_cast<long>(json::number(line, "id")), micros(line, "t"));
       return;
@@ -214,6 +220,35 @@
     return began;
   }
 
+  // What the database ran: each step once, after those before it, and undone before those before it.
+  void steps(const std::string& folder) {
+    if (report.meta.steps.empty()) return;
+    Rule& rule = report.steps;
+    const auto wrong = [&](const std::string& what) {
+      if (rule.broken++ == 0) rule.first = what;
+    };
+    std::map<std::string, std::size_t> place;
+    for (std::size_t i = 0; i < report.meta.steps.size(); ++i) place[report.meta.steps[i]] = i;
+    std::set<std::size_t> there;
+    record::read(folder + "/database.jsonl", [&](const json::Json& line) {
+      const std::string mark = json::text(line, "mark"), build = mark.substr(0, mark.find('/'));
+      const bool undo = json::truth(line, "undo"), done = json::text(line, "how") == "done";
+      const std::string at = " at " + at_s(micros(line, "t"));
+      ++rule.checked;
+      auto found = place.find(mark);
+      if (found == place.end()) return wrong(mark + " ran" + at + ", which is in no plan");
+      const std::size_t i = found->second;
+      if (!undo && there.count(i) > 0) wrong(mark + " ran twice, again" + at);
+      for (std::size_t j = 0; j < report.meta.steps.size(); ++j) {
+        const std::string& other = report.meta.steps[j];
+        if (other.substr(0, other.find('/')) != build) continue;
+        if (!undo && j < i && there.count(j) == 0) wrong(mark + " ran" + at + ", before " + other);
+      }
+      if (undo) there.erase(i);
+      else if (done) there.insert(i);
+    });
+  }
+
   std::string who(const Try& one) const {
     return "try " + std::to_string(one.id) + " (" + report.meta.products[one.product].name + ", " +
            one.umpire + ", sent at " + at_s(one.at) + ")";
@@ -547,7 +582,8 @@
 }  // namespace
 
 bool Report::kept() const {
-  return std::all_of(rules.begin(), rules.end(), [](const Rule& rule) { return rule.kept(); });
+  return steps.kept() &&
+         std::all_of(rules.begin(), rules.end(), [](const Rule& rule) { return rule.kept(); });
 }
 
 Report check(const std::string& folder) {
@@ -560,6 +596,7 @@
   checker.rule3();
   checker.rule4();
   checker.rule5();
+  checker.steps(folder);
   checker.figures();
   return std::move(checker.report);
 }
@@ -577,6 +614,13 @@
     if (!rule.kept()) text += ": " + std::to_string(rule.broken) + " times, first: " + rule.first;
     text += "\n";
   }
+  if (!report.meta.steps.empty()) {
+    text += std::string(report.steps.name) + (report.steps.kept() ? " kept (" : " BROKEN (") +
+            std::to_string(report.steps.checked) + " runs at the database)";
+    if (!report.steps.kept())
+      text += ": " + std::to_string(report.steps.broken) + " times, first: " + report.steps.first;
+    text += "\n";
+  }
   std::snprintf(
       line, sizeof line,
       "asked %ld, tries %ld: settled %ld (wrong %ld), declined %ld, voided %ld, not taken %ld, unreached "
--- a/src/audit/audit.h
+++ b/src/audit/audit.h
@@ -30,6 +30,7 @@
 
 struct Report {
   std::array<Rule, 5> rules{};
+  Rule steps{.name = "steps in order"};  // of releases: beside the five rules
   long asked = 0, tries = 0, settled = 0, declined = 0, voided = 0, not_taken = 0, unreached = 0, lost = 0,
        left = 0;
   long wrong = 0, submissions = 0, votes = 0;
--- a/src/cli/steps.cpp
+++ b/src/cli/steps.cpp
@@ -51,13 +51,17 @@
   std::string gate;
   int number = 0;
   for (const steps::Step& step : plan.steps) {
-    const std::string before = step.phase == steps::Phase::expand    ? "before wave 0"
-                               : step.phase == steps::Phase::migrate ? "before wave " + std::to_string(step.before_wave)
-                                                                     : "once it can't be sent back";
+    const std::string before = step.phase == steps::Phase::expand ? "before wave 0"
+                               : step.phase == steps::Phase::migrate
+                                   ? "before wave " + std::to_string(step.before_wave)
+                                   : "once it can't be sent back";
     if (before != gate) std::cout << before << ":\n";
     gate = before;
-    std::cout << "  " << ++number << ". " << step.id << " (" << (step.kind == steps::Kind::data ? "data" : "schema")
-              << ", " << (step.transactional ? "marked in its transaction" : step.check.empty() ? step.idempotent ? "may run twice" : "asks the operator when in doubt" : "checked when in doubt")
+    std::cout << "  " << ++number << ". " << step.id << " ("
+              << (step.kind == steps::Kind::data ? "data" : "schema") << ", "
+              << (step.transactional   ? "marked in its transaction"
+                  : step.check.empty() ? step.idempotent ? "may run twice" : "asks the operator when in doubt"
+                                       : "checked when in doubt")
               << ", on back " << (step.undo_on_back ? "undone" : "kept") << ")\n";
   }
   return 0;
@@ -66,16 +70,21 @@
 int show_status(const std::string& body) {
   auto document = json::object_of(body);
   bool open = false, waits = false;
-  std::cout << (json::truth(document, "holds_lease") ? "holds the lease" : "does not hold the lease") << ", token "
-            << json::number(document, "token") << ", journal " << json::text(document, "journal") << "\n";
+  std::cout << (json::truth(document, "holds_lease") ? "holds the lease" : "does not hold the lease")
+            << ", token " << json::number(document, "token") << ", journal "
+            << json::text(document, "journal") << "\n";
   for (auto& plan : json::array(document, "plans").GetArray()) {
     std::cout << "build " << json::whole(plan, "build") << (json::truth(plan, "paused") ? ", paused" : "")
               << (json::truth(plan, "undoing") ? ", going back" : "") << "\n";
     for (auto& step : json::array(plan, "steps").GetArray()) {
       const std::string state = json::text(step, "state"), why = json::text(step, "why");
-      std::printf("  %-20s %-10s %-24s %s%s\n", json::text(step, "id").c_str(), json::text(step, "phase").c_str(),
-                  state.c_str(), json::number(step, "after") > 0 ? ("at row " + std::to_string(static_cast<long>(json::number(step, "after"))) + " ").c_str() : "",
-                  why.c_str());
+      std::printf(
+          "  %-20s %-10s %-24s %s%s\n", json::text(step, "id").c_str(), json::text(step, "phase").c_str(),
+          state.c_str(),
+          json::number(step, "after") > 0
+              ? ("at row " + std::to_string(static_cast<long>(json::number(step, "after"))) + " ").c_str()
+              : "",
+          why.c_str());
       waits |= state == "waits for the operator";
       open |= state != "applied" && state != "skipped" && state != "undone";
     }
@@ -83,7 +92,8 @@
   return waits ? 3 : open ? 1 : 0;
 }
 
-int tell(const std::string& controller, const std::string& path, const std::string& body, const std::string& who) {
+int tell(const std::string& controller, const std::string& path, const std::string& body,
+         const std::string& who) {
   http::Request request;
   request.method = body.empty() ? "GET" : "POST";
   request.target = path;
@@ -94,7 +104,8 @@
     std::cerr << controller << ": no controller answers\n";
     return 2;
   }
-  if (asked.status == 200) return path == "/v1/plans" ? (std::cout << asked.body << "\n", 0) : show_status(asked.body);
+  if (asked.status == 200)
+    return path == "/v1/plans" ? (std::cout << asked.body << "\n", 0) : show_status(asked.body);
   std::cerr << asked.body << (asked.body.empty() || asked.body.back() != '\n' ? "\n" : "");
   return asked.status == 409 ? 1 : 2;
 }
@@ -109,7 +120,8 @@
   auto words = std::make_shared<Words>();
   const char* user = std::getenv("USER");
   words->who = user ? user : "operator";
-  CLI::App* steps = app.add_subcommand("steps", "Schema and data steps of releases: plans, state, the operator's words");
+  CLI::App* steps =
+      app.add_subcommand("steps", "Schema and data steps of releases: plans, state, the operator's words");
   steps->require_subcommand(1);
   auto add = [&](const char* name, const char* what, std::function<int()> run) {
     CLI::App* sub = steps->add_subcommand(name, what);
@@ -125,32 +137,36 @@
                        [words] { return show_plan(words->file, words->waves); });
   plan->add_option("FILE", words->file)->required();
   plan->add_option("--waves", words->waves, "How many waves the rollout has")->capture_default_str();
-  CLI::App* run = to(add("run", "Give a plan, new or edited, to the controller, which runs what is due", [words] {
-    return tell(words->controller, "/v1/plans", content_of(words->file), words->who);
-  }));
+  CLI::App* run =
+      to(add("run", "Give a plan, new or edited, to the controller, which runs what is due",
+             [words] { return tell(words->controller, "/v1/plans", content_of(words->file), words->who); }));
   run->add_option("FILE", words->file)->required();
   for (const char* name : {"status", "verify"})
-    to(add(name, *name == 's' ? "Where each step stands" : "The same; exit status 0 only when all is done, 3 when one waits",
+    to(add(name,
+           *name == 's' ? "Where each step stands"
+                        : "The same; exit status 0 only when all is done, 3 when one waits",
            [words] { return tell(words->controller, "/v1/steps", "", words->who); }));
   for (const std::string name : {"pause", "resume"})
     to(add(name.c_str(), name == "pause" ? "Begin no further step or batch" : "Go on", [words, name] {
       return tell(words->controller, "/v1/steps/" + name,
-                  json::Out().open().put("who", words->who).put("why", words->why).close().text(), words->who);
+                  json::Out().open().put("who", words->who).put("why", words->why).close().text(),
+                  words->who);
     }))->add_option("--reason", words->why);
   for (const std::string name : {"retry", "skip"}) {
-    CLI::App* sub = to(add(name.c_str(), name == "retry" ? "Try a step again: you know that it is safe" : "Take a step as done",
-                           [words, name] {
-                             return tell(words->controller, "/v1/steps/" + name,
-                                         json::Out()
-                                             .open()
-                                             .put("build", words->build)
-                                             .put("step", words->step)
-                                             .put("who", words->who)
-                                             .put("why", words->why)
-                                             .close()
-                                             .text(),
-                                         words->who);
-                           }));
+    CLI::App* sub = to(add(
+        name.c_str(), name == "retry" ? "Try a step again: you know that it is safe" : "Take a step as done",
+        [words, name] {
+          return tell(words->controller, "/v1/steps/" + name,
+                      json::Out()
+                          .open()
+                          .put("build", words->build)
+                          .put("step", words->step)
+                          .put("who", words->who)
+                          .put("why", words->why)
+                          .close()
+                          .text(),
+                      words->who);
+        }));
     sub->add_option("STEP", words->step)->required();
     sub->add_option("--build", words->build)->required();
     sub->add_option("--reason", words->why)->required(name == "skip");
--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -29,9 +29,7 @@
 
 Controller::Controller(net::Loop& loop, const Settings& settings, const log::Log& log, Orders orders,
                        Told told, Voted voted)
-    : loop_(loop), settings_(settings), log_(log),
-      orders_(std::move(orders)),
-      told_(std::move(told)),
+    : loop_(loop), settings_(settings), log_(log), orders_(std::move(orders)), told_(std::move(told)),
       voted_(std::move(voted)), published_{},
       server_(std::make_unique<http::Server>(loop, settings.server,
                                              [this](const http::ExchangePtr& e) { handle(e); })) {
@@ -47,7 +45,8 @@
     }
   }
   if (!core_)
-    core_ = std::make_unique<rollout::Rollout>(settings_.rollout, settings.places, settings.build, settings.umpires);
+    core_ = std::make_unique<rollout::Rollout>(settings_.rollout, settings.places, settings.build,
+                                               settings.umpires);
   published_ = {core_->version(), core_->news(loop.now()), loop.now() - core_->news(loop.now()).since};
   if (!settings.steps_target.empty()) {
     target_ = std::make_unique<steps::Target>(loop, settings.steps_target);
@@ -258,8 +257,8 @@
     } else {
       const std::string reason = json::text(document, "why");
       if (reason.empty()) json::mistyped("why", "a reason");
-      done =
-          what == "back" ? core_->back(reason, loop_.now()) : core_->hold(what == "hold", reason, loop_.now());
+      done = what == "back" ? core_->back(reason, loop_.now())
+                            : core_->hold(what == "hold", reason, loop_.now());
       if (!done) why = "the release is not in a state that allows it";
     }
   } catch (const json::BadInput& bad) {
@@ -340,7 +339,8 @@
     } else {
       const int build = json::whole(document, "build");
       const std::string step = json::text(document, "step");
-      refused = what == "retry" ? runner_->retry(build, step, who, why) : runner_->skip(build, step, who, why);
+      refused =
+          what == "retry" ? runner_->retry(build, step, who, why) : runner_->skip(build, step, who, why);
     }
     pull();
     exchange->answer(refused.empty() ? http::json_answer(200, runner_->status())
--- a/src/controller/process.cpp
+++ b/src/controller/process.cpp
@@ -36,7 +36,8 @@
   to.who = form.text("name", "controller");
   if (auto steps = form.maybe("steps")) {
     to.steps_target = steps->text("target");
-    to.lease = steps->span("lease", std::chrono::milliseconds(100), std::chrono::hours(1), std::chrono::seconds(10));
+    to.lease =
+        steps->span("lease", std::chrono::milliseconds(100), std::chrono::hours(1), std::chrono::seconds(10));
     steps->finish();
     if (to.journal.empty()) form.problem("steps", "need a (journal FILE): what ran must outlive the process");
   }
--- a/src/day/notation.cpp
+++ b/src/day/notation.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "standin/agent.h"
+#include "steps/plan.h"
 
 namespace robinhoist::day {
 namespace {
@@ -29,6 +30,7 @@
     {"umpire-crash", Kind::umpire_crash},
     {"umpire-roll", Kind::umpire_roll},
     {"controller-down", Kind::controller_down},
+    {"controller-crash", Kind::controller_crash},
 };
 
 // (key LEAST MOST) or (key BOTH).
@@ -222,9 +224,21 @@
   }
   read_load(form.sub("load"), day);
   if (auto clients = form.maybe("clients")) read_clients(*clients, day.load);
+  if (auto database = form.maybe("database")) {
+    day.database = true;
+    day.database_setup = database->text("setup");
+    database->finish();
+  }
   for (Form& release : form.each("release")) {
     Offer offer;
     offer.at = release.span("at", 0ms, day.length);
+    offer.needs = release.text("needs", "");
+    if (auto plan = release.maybe("plan")) {
+      if (!day.database) release.problem("plan", "has no (database ...) to run against");
+      offer.plan = release.written("plan");
+      steps::Plan read = steps::read(*plan, static_cast<int>(day.deployment.rollout.waves.size()));
+      for (const steps::Step& step : read.steps) offer.steps.push_back(step.id);
+    }
     offer.build = standin::read_build(release, day.deployment);
     if (offer.build.number <= (day.offers.empty() ? day.first.number : day.offers.back().build.number))
       release.problem("its build is not newer than the one before");
--- a/src/day/notation.h
+++ b/src/day/notation.h
@@ -31,7 +31,8 @@
   stale_list,
   umpire_crash,
   umpire_roll,
-  controller_down
+  controller_down,
+  controller_crash
 };
 
 struct Trouble {
@@ -44,6 +45,9 @@
 struct Offer {
   Span at{};
   machine::Build build{};
+  std::string needs{};               // a query that says whether its tables are ready; empty: it needs none
+  std::string plan{};                // its steps, as text
+  std::vector<std::string> steps{};  // their ids, in order
 };
 
 struct Day {
@@ -61,6 +65,8 @@
   Span reports_least{}, reports_most{};
   double false_reports = 0;
   Span answer_slack{};
+  bool database = false;
+  std::string database_setup{};
   load::Settings load{};
   std::vector<Offer> offers{};
   std::vector<Trouble> troubles{};
--- a/src/day/play.cpp
+++ b/src/day/play.cpp
@@ -116,6 +116,9 @@
   meta.umpires = d.umpires;
   meta.nodes = day.places;
   meta.seed = seed;
+  for (const Offer& offer : day.offers)
+    for (const std::string& step : offer.steps)
+      meta.steps.push_back(std::to_string(offer.build.number) + "/" + step);
   return meta;
 }
 
@@ -149,14 +152,16 @@
   log::Log log("day", "info", dir + "/day.log");
   record::write(dir + "/meta.json", meta_of(day, seed));
   record::Writer nodes(dir + "/nodes.jsonl"), told(dir + "/told.jsonl"),
-      clients_record(dir + "/clients.jsonl"), lives(dir + "/umpires.jsonl");
+      clients_record(dir + "/clients.jsonl"), lives(dir + "/umpires.jsonl"),
+      database(dir + "/database.jsonl");
+  for (const char* old : {"/journal", "/journal-wal", "/journal-shm"}) fs::remove(dir + old);
   const int umpires = day.deployment.umpires;
   const auto ports = free_ports(static_cast<std::size_t>(2 * umpires));
   std::vector<UmpirePorts> at;
   for (int u = 0; u < umpires; ++u) at.push_back({ports[2 * u], ports[2 * u + 1]});
 
   Running world_runs(epoch), clients_run(epoch);
-  World world(world_runs.loop, day, static_cast<unsigned>(seed * 2 + 1), log, nodes, told);
+  World world(world_runs.loop, day, static_cast<unsigned>(seed * 2 + 1), log, nodes, told, dir, &database);
   Clients clients(clients_run.loop, day, static_cast<unsigned>(seed * 2 + 101), at, clients_record);
   // Loops stop before what runs on them goes.
   struct Stop {
--- a/src/day/world.cpp
+++ b/src/day/world.cpp
@@ -19,8 +19,8 @@
 }
 
 World::World(net::Loop& loop, const Day& day, unsigned salt, const log::Log& log, record::Writer& nodes,
-             record::Writer& told)
-    : loop_(loop), day_(day), log_(log), told_(told), chance_(salt) {
+             record::Writer& told, const std::string& folder, record::Writer* database)
+    : loop_(loop), day_(day), log_(log), told_(told), chance_(salt), folder_(folder) {
   standin::Shared shared;
   for (auto& product : day.deployment.products)
     shared.memory = std::max(shared.memory, product.product.memory);
@@ -45,14 +45,29 @@
       [this](const std::string& umpire, const list::News& news) { told_list(umpire, news); });
   list_->told_after(0ms);
   for (int place = 0; place < day.places; ++place) speeds_[place] = 1 + day.speed_spread * (2 * draw() - 1);
+  if (day.database) {
+    database_ = std::make_unique<standin::Database>(loop, server, "", database);
+    if (!database_->execute(day.database_setup))
+      throw std::runtime_error("the database's set-up statements fail");
+    nodes_->ready = [this](const std::string& needs) { return database_->ask(needs).value_or(0) != 0; };
+  }
+  start_controller();
+}
+
+// Also after it was killed: on the same port, with what its journal holds.
+void World::start_controller() {
   controller::Settings settings;
-  settings.rollout = day.deployment.rollout;
-  settings.places = day.places;
-  settings.build = day.first.number;
-  settings.umpires = day.deployment.umpires;
-  settings.series = "rel-1";
+  settings.server.listen = "127.0.0.1:" + std::to_string(controller_port_);
+  settings.rollout = day_.deployment.rollout;
+  settings.places = day_.places;
+  settings.build = day_.first.number;
+  settings.umpires = day_.deployment.umpires;
+  settings.series = "rel-" + std::to_string(loop_.now().count());
+  settings.journal = folder_ + "/journal";
+  settings.lease = 2s;
+  if (database_) settings.steps_target = "127.0.0.1:" + std::to_string(database_->port());
   controller_ = std::make_unique<controller::Controller>(
-      loop, settings, log, [this](const rollout::Order& one) { order(one); },
+      loop_, settings, log_, [this](const rollout::Order& one) { order(one); },
       [this](const std::string& umpire, const rollout::News& news) { told_news(umpire, news); },
       [this](const std::string& umpire, int build, int stage, Verdict verdict, Outcome outcome) {
         told_.line(json::Out()
@@ -67,6 +82,10 @@
                        .close()
                        .text());
       });
+  controller_port_ = controller_->port();
+  changes_ = 0;
+  for (auto& [id, place] : places_)
+    if (place.listed) controller_->core().machine_up(id, loop_.now());
 }
 
 World::~World() = default;
@@ -99,7 +118,7 @@
   if (order.kind == rollout::OrderKind::drain) return list_->phase(at->second.name, NodePhase::lame);
   down(order.machine, false);
   places_.erase(order.machine);
-  controller_->core().machine_gone(order.machine, loop_.now());
+  if (controller_) controller_->core().machine_gone(order.machine, loop_.now());
 }
 
 void World::enlist(int machine) {
@@ -128,8 +147,11 @@
   spec.capacity.speed *= speeds_[place.place];
   spec.build = build(place.build);
   spec.cold = cold;
+  for (const Offer& offer : day_.offers)
+    if (offer.build.number == place.build) spec.needs = offer.needs;
   nodes_->start(spec);
   enlist(machine);
+  if (!controller_) return;
   controller_->core().machine_up(machine, loop_.now());
   controller_->pull();
 }
@@ -183,7 +205,7 @@
     case Kind::vanish:
       for (int id : pick(trouble.part)) {
         down(id, trouble.kind == Kind::vanish);
-        controller_->core().machine_gone(id, loop_.now());
+        if (controller_) controller_->core().machine_gone(id, loop_.now());
         loop_.at(end, [this, id] {
           auto at = places_.find(id);
           if (at == places_.end()) return;
@@ -239,12 +261,18 @@
       list_->told_after(day_.list_most + seconds(size));
       loop_.at(end, [this] { list_->told_after(drawn(day_.list_least, day_.list_most)); });
       break;
+    case Kind::controller_crash:
+      controller_.reset();
+      loop_.at(end, [this] { start_controller(); });
+      break;
     case Kind::controller_down:
+      if (!controller_) return;
       if (trouble.how == "stale") controller_->told_after(day_.news_most + seconds(size));
       else
         controller_->trouble(
             trouble.how == "silence" ? controller::Trouble::silent : controller::Trouble::errors, size);
       loop_.at(end, [this] {
+        if (!controller_) return;
         controller_->told_after(drawn(day_.news_least, day_.news_most));
         controller_->trouble(controller::Trouble::none, 0);
       });
@@ -261,15 +289,22 @@
   controller_->told_after(drawn(day_.news_least, day_.news_most));
   for (const Trouble& trouble : day_.troubles)
     loop_.at(from + trouble.at, [this, &trouble] { begin_trouble(trouble); });
-  for (const Offer& offer : day_.offers)
-    loop_.at(from + offer.at, [this, &offer] {
-      controller_->core().offer(offer.build.number, loop_.now());
-      controller_->pull();
-    });
+  for (const Offer& offer : day_.offers) loop_.at(from + offer.at, [this, &offer] { this->offer(offer); });
   watch_changes();
   share_harm();
 }
 
+// Offered again until there is a controller to hear it.
+void World::offer(const Offer& offer) {
+  if (!controller_) {
+    loop_.in(100ms, [this, &offer] { this->offer(offer); });
+    return;
+  }
+  if (!offer.plan.empty()) controller_->runner()->take_plan(offer.plan, "plan", "day");
+  controller_->core().offer(offer.build.number, loop_.now());
+  controller_->pull();
+}
+
 // A build that harms all machines does so in step with the traffic that it gets.
 void World::share_harm() {
   double factor = 1;
@@ -281,6 +316,8 @@
 }
 
 void World::watch_changes() {
+  loop_.in(50ms, [this] { watch_changes(); });
+  if (!controller_) return;
   const auto& changes = controller_->core().changes();
   for (; changes_ < changes.size(); ++changes_) {
     const rollout::Change& change = changes[changes_];
@@ -295,7 +332,6 @@
                    .close()
                    .text());
   }
-  loop_.in(50ms, [this] { watch_changes(); });
 }
 
 void World::told_list(const std::string& umpire, const list::News& news) {
--- a/src/day/world.h
+++ b/src/day/world.h
@@ -8,6 +8,7 @@
 #include "day/notation.h"
 #include "list/service.h"
 #include "record/record.h"
+#include "standin/database.h"
 #include "standin/nodes.h"
 
 namespace robinhoist::day {
@@ -15,11 +16,11 @@
 class World {
  public:
   World(net::Loop& loop, const Day& day, unsigned salt, const log::Log& log, record::Writer& nodes,
-        record::Writer& told);
+        record::Writer& told, const std::string& folder, record::Writer* database);
   ~World();
 
   int list_port() const { return list_->port(); }
-  int controller_port() const { return controller_->port(); }
+  int controller_port() const { return controller_port_; }
   // Plans what falls due in the day; `from` is when the day starts.
   void begin(Span from);
   bool all_up() const;
@@ -45,6 +46,8 @@
   void told_news(const std::string& umpire, const rollout::News& news);
   void watch_changes();
   void share_harm();
+  void start_controller();
+  void offer(const Offer& offer);
 
   net::Loop& loop_;
   const Day& day_;
@@ -53,7 +56,10 @@
   std::minstd_rand chance_;
   std::unique_ptr<standin::Nodes> nodes_;
   std::unique_ptr<list::Service> list_;
-  std::unique_ptr<controller::Controller> controller_;
+  std::unique_ptr<standin::Database> database_{};
+  std::unique_ptr<controller::Controller> controller_{};
+  int controller_port_ = 0;
+  std::string folder_;
   std::map<int, Place> places_{};
   std::map<int, double> speeds_{};  // by place
   std::size_t changes_ = 0;
--- a/src/record/meta.cpp
+++ b/src/record/meta.cpp
@@ -27,6 +27,8 @@
   out.put("free", meta.free).put("fall_multiple", meta.fall_multiple).put("cold_from", meta.cold_from);
   out.put("by_product", meta.by_product).put("safe_only_stages", meta.safe_only_stages).open_list("caps");
   for (double cap : meta.caps) out.put(nullptr, cap);
+  out.close_list().open_list("steps");
+  for (auto& step : meta.steps) out.put(nullptr, step);
   out.close_list().open_list("tenants");
   for (auto& tenant : meta.tenants) out.put(nullptr, tenant);
   out.close_list().open_list("products");
@@ -68,6 +70,7 @@
     meta.by_product = json::truth(document, "by_product");
     meta.safe_only_stages = json::whole(document, "safe_only_stages");
     for (auto& cap : json::array(document, "caps").GetArray()) meta.caps.push_back(cap.GetDouble());
+    for (auto& step : json::array(document, "steps").GetArray()) meta.steps.push_back(step.GetString());
     for (auto& tenant : json::array(document, "tenants").GetArray())
       meta.tenants.push_back(tenant.GetString());
     for (auto& each : json::array(document, "products").GetArray()) {
--- a/src/record/meta.h
+++ b/src/record/meta.h
@@ -18,6 +18,7 @@
   std::vector<Product> products{};
   std::vector<std::string> tenants{};
   std::vector<double> caps{};
+  std::vector<std::string> steps{};  // of all releases, "build/id", in the order in which they must run
   Span length{}, drain_grace{}, window{}, fall_window{}, cold_for{}, answer_slack{};
   double free = 0, fall_multiple = 0, cold_from = 0;
   bool by_product = false;
--- a/src/rollout/kept.cpp
+++ b/src/rollout/kept.cpp
@@ -12,7 +12,11 @@
 
 std::string encoded(const Kept& kept) {
   json::Out out;
-  out.open().put("form", form).put("build", kept.build).put("stage", kept.stage).put("baseline", kept.baseline);
+  out.open()
+      .put("form", form)
+      .put("build", kept.build)
+      .put("stage", kept.stage)
+      .put("baseline", kept.baseline);
   out.put("newest_offered", kept.newest_offered).put("next_machine", kept.next_machine);
   out.put("version", kept.version).put("phase", static_cast<int>(kept.phase)).put_ms("since_ms", kept.since);
   out.put("begun", kept.begun).put("operator_holds", kept.operator_holds);
@@ -48,7 +52,8 @@
   if (json::present(document, "queued")) kept.queued = json::whole(document, "queued");
   for (auto& each : json::array(document, "machines").GetArray())
     kept.machines[json::whole(each, "id")] = {json::whole(each, "place"), json::whole(each, "build"),
-                                              static_cast<MachinePhase>(json::whole(each, "phase", 0, 3)), Span{}};
+                                              static_cast<MachinePhase>(json::whole(each, "phase", 0, 3)),
+                                              Span{}};
   for (auto& each : json::array(document, "fates").GetArray())
     kept.fates[json::whole(each, "build")] = phase_of(each, "phase");
   return kept;
--- a/src/rollout/rollout.cpp
+++ b/src/rollout/rollout.cpp
@@ -27,13 +27,15 @@
   // Machines of a fleet that has shrunk or grown are a matter for the next release.
   for (auto& [id, machine] : machines_) {
     machine.since = now;
-    if (machine.phase == MachinePhase::ordered) orders_.push_back({OrderKind::start, id, machine.place, machine.build});
-    if (machine.phase == MachinePhase::draining) orders_.push_back({OrderKind::drain, id, machine.place, machine.build});
+    if (machine.phase == MachinePhase::ordered)
+      orders_.push_back({OrderKind::start, id, machine.place, machine.build});
+    if (machine.phase == MachinePhase::draining)
+      orders_.push_back({OrderKind::drain, id, machine.place, machine.build});
   }
 }
 
 Kept Rollout::kept(Span now) const {
-  return {build_,        stage_, baseline_,       newest_offered_, next_machine_, version_, phase_,
+  return {build_,          stage_, baseline_,       newest_offered_, next_machine_, version_, phase_,
           now - phase_at_, begun_, operator_holds_, queued_,         machines_,     fates_};
 }
 
--- a/src/rollout/rollout.h
+++ b/src/rollout/rollout.h
@@ -27,8 +27,8 @@
   Span vote_life{};
   double to_advance = 0, to_hold = 0, to_revert = 0;  // shares of all umpires
   double calls_per_s = 0;                             // votes taken from all; twice as many in a burst
-  Span back_for{};  // a release can be sent back for so long after it is out; 0: until the next is offered
-  bool gated = false;     // a wave waits until its gate has been opened; else until it has been shut
+  Span back_for{};     // a release can be sent back for so long after it is out; 0: until the next is offered
+  bool gated = false;  // a wave waits until its gate has been opened; else until it has been shut
   bool in_place = false;  // each earlier machine drains once its successor runs; else all at the release
 };
 
@@ -72,7 +72,7 @@
   std::map<int, Machine> machines{};
   std::map<int, RelPhase> fates{};
 };
-std::string encoded(const Kept& kept);     // JSON
+std::string encoded(const Kept& kept);       // JSON
 Kept decoded_kept(const std::string& text);  // throws json::BadInput
 
 class Rollout {
--- a/src/standin/nodes.cpp
+++ b/src/standin/nodes.cpp
@@ -224,6 +224,9 @@
   while (auto done = node.machine.next(loop_.now())) {
     ++figures_.ran;
     figures_.effects += done->effect;
+    const bool unready =
+        done->how == machine::Ran::well && !node.spec.needs.empty() && ready && !ready(node.spec.needs);
+    if (unready) done->how = machine::Ran::wrong;
     auto at = node.open.find(done->id);
     const bool known = at != node.open.end();
     if (record_)
@@ -233,7 +236,8 @@
                         .put("e", "ran")
                         .put("node", node.spec.name)
                         .put("id", static_cast<long>(done->id))
-                        .put("how", done->how == machine::Ran::well     ? "well"
+                        .put("how", unready                             ? "unready"
+                                    : done->how == machine::Ran::well   ? "well"
                                     : done->how == machine::Ran::failed ? "failed"
                                     : done->how == machine::Ran::wrong  ? "wrong"
                                                                         : "repeat")
--- a/src/standin/nodes.h
+++ b/src/standin/nodes.h
@@ -20,6 +20,7 @@
   machine::Capacity capacity{};
   machine::Build build{};
   bool cold = true;
+  std::string needs{};  // asked of `ready`; empty: nothing
 };
 
 enum class Cancelled { nothing, queued, all };
@@ -33,7 +34,7 @@
 
 class Nodes {
  public:
-  // `record` may be null. `reads` names what a build needs of its data: false makes it answer wrongly.
+  // `record` may be null.
   Nodes(net::Loop& loop, const deployment::Deployment& deployment, const Shared& shared, unsigned salt,
         record::Writer* record);
   ~Nodes();
@@ -62,6 +63,8 @@
     Span by{};        // later, there and back together
     double lost = 0;  // share of requests whose connection breaks
   };
+  // Whether what a build needs of its data is there; one that reads what is not answers wrongly.
+  std::function<bool(const std::string& needs)> ready{};
   std::function<Way(const std::string& umpire, const std::string& zone)> way{};
   void harm_all(double factor) { harm_.factor = factor; }
 
--- a/src/umpire/router.cpp
+++ b/src/umpire/router.cpp
@@ -12,9 +12,9 @@
 
 using namespace std::chrono_literals;
 
-constexpr Span tick = 1ms;        // the clock's grain, as the module is told it
+constexpr Span tick = 1ms;           // the clock's grain, as the module is told it
 constexpr Span patients_every = 1s;  // how txns did, told to the controller
-constexpr Span index_kept = 60s;  // a node's index is given to another this long after it has left
+constexpr Span index_kept = 60s;     // a node's index is given to another this long after it has left
 
 double number(std::string_view text, double absent) {
   if (text.empty()) return absent;
@@ -392,7 +392,8 @@
     passed.headers.add("Robinhoist-Build", std::to_string(peer.build));
     passed.body = std::move(response.body);
     ++counters_.settled;
-    counters_.late += loop_.now() - held.exchange->at > settings_.deployment.products[held.product].product.sla;
+    counters_.late +=
+        loop_.now() - held.exchange->at > settings_.deployment.products[held.product].product.sla;
     end_txn(held, std::move(passed), "settled", "answered");
   }
   forget(txn);
--- a/src/umpire/sources.cpp
+++ b/src/umpire/sources.cpp
@@ -143,8 +143,10 @@
   http::Request request;
   request.method = "POST";
   request.target = "/v1/patients";
-  request.body = json::Out().open().put("umpire", umpire_).put("txns", txns).put("poorly", poorly).close().text();
-  poll_.caller().call(request, 1s, [](http::Ended, http::Response&&) {});  // the next word makes up for a lost one
+  request.body =
+      json::Out().open().put("umpire", umpire_).put("txns", txns).put("poorly", poorly).close().text();
+  poll_.caller().call(request, 1s,
+                      [](http::Ended, http::Response&&) {});  // the next word makes up for a lost one
 }
 
 }  // namespace robinhoist::umpire
--- a/src/umpire/sources.h
+++ b/src/umpire/sources.h
@@ -29,8 +29,8 @@
   virtual void start(Heard heard) = 0;
   // The answer may never come; then `answered` says timeout, and the vote may count.
   virtual void vote(int build, int stage, Verdict verdict, Answered answered) = 0;
-  // How the umpire's txns did since its last word: all that ended, and those late, declined or voided. Steps that
-  // run beside patients back off by it.
+  // How the umpire's txns did since its last word: all that ended, and those late, declined or voided. Steps
+  // that run beside patients back off by it.
   virtual void patients(long txns, long poorly) = 0;
 };
 
--- a/tests/audit_test.cpp
+++ b/tests/audit_test.cpp
@@ -24,7 +24,8 @@
 struct Written {
   Folder folder{};
   record::Meta meta{};
-  std::map<std::string, std::string> files{{"clients", ""}, {"nodes", ""}, {"told", ""}, {"umpires", ""}};
+  std::map<std::string, std::string> files{
+      {"clients", ""}, {"nodes", ""}, {"told", ""}, {"umpires", ""}, {"database", ""}};
   std::map<std::string, std::string> wanted{};
   long next_work = 1, most_pushed = 0;
   bool cut = false;
@@ -165,6 +166,30 @@
       }
     } else if (w[0] == "sent") {
       sent(w);
+    } else if (w[0] == "steps") {
+      meta.steps.assign(w.begin() + 1, w.end());
+    } else if (w[0] == "database") {  // database MARK apply|undo AT
+      files["database"] += json::Out()
+                               .open()
+                               .put("t", us(w[3]))
+                               .put("mark", w[1])
+                               .put("undo", w[2] == "undo")
+                               .put("how", "done")
+                               .put("after", 0)
+                               .close()
+                               .text() +
+                           "\n";
+    } else if (w[0] == "unready") {  // unready NODE AT
+      files["nodes"] += json::Out()
+                            .open()
+                            .put("t", us(w[2]))
+                            .put("e", "ran")
+                            .put("node", w[1])
+                            .put("how", "unready")
+                            .put("effect", false)
+                            .close()
+                            .text() +
+                        "\n";
     } else if (w[0] == "unasked") {
       files["clients"] += json::Out().open().put("unasked", 1).put("umpire", w[1]).close().text() + "\n";
     } else if (w[0] == "cut") {
@@ -189,9 +214,9 @@
   }
   Report report = check(written.folder.at.string());
   EXPECT_FALSE(written.wanted.empty());
-  for (int r = 1; r <= 5; ++r) {
-    const Rule& rule = report.rules[r - 1];
-    auto wanted = written.wanted.find(std::to_string(r));
+  for (int r = 1; r <= 6; ++r) {
+    const Rule& rule = r == 6 ? report.steps : report.rules[r - 1];
+    auto wanted = written.wanted.find(r == 6 ? "steps" : std::to_string(r));
     if (wanted == written.wanted.end()) {
       EXPECT_TRUE(rule.kept()) << r << ": " << rule.first;
       continue;
