--- a/src/machine/machine.cpp
+++ b/src/machine/machine.cpp
@@ -9,21 +9,19 @@
 constexpr Span quick_answer = std::chrono::microseconds(300);  // an error or a known repeat
 }  // namespace
 
-bool Marks::known(const std::string& key, Span now) {
-  forget(now);
-  return at_.count(key) > 0;
+bool Marks::known(const std::string& key, Span arrived) {
+  auto at = at_.find(key);
+  return at != at_.end() && arrived < at->second + memory_;
 }
 
 void Marks::done(const std::string& key, Span now) {
-  forget(now);
-  if (at_.emplace(key, now).second) order_.emplace_back(now, key);
-}
-
-void Marks::forget(Span now) {
-  while (!order_.empty() && order_.front().first + memory_ <= now) {
-    at_.erase(order_.front().second);
+  while (!order_.empty() && order_.front().first + memory_ + waits_most <= now) {
+    auto old = at_.find(order_.front().second);
+    if (old != at_.end() && old->second == order_.front().first) at_.erase(old);
     order_.pop_front();
   }
+  at_[key] = now;
+  order_.emplace_back(now, key);
 }
 
 Machine::Machine(const Capacity& capacity, const Build& build, unsigned salt, Span started, Marks* marks,
@@ -81,7 +79,7 @@
       return Entry::down;
     }
   }
-  Job job{.work = work, .how = Ran::well};
+  Job job{.work = work, .how = Ran::well, .arrived = now};
   const bool bad_now = (build_.flaw == Flaw::late && now >= started_ + build_.after) ||
                        (build_.flaw == Flaw::load && busy() > build_.busy);
   if (!work.key.empty() && marks_ && marks_->known(work.key, now)) job.how = Ran::repeat;
@@ -136,7 +134,7 @@
   Done done{job.work.id, job.how, false};
   // The mark is set in the moment of the effect: of two that ran side by side the second changes nothing.
   if (job.work.effect && (job.how == Ran::well || job.how == Ran::wrong)) {
-    if (!job.work.key.empty() && marks_ && marks_->known(job.work.key, now)) {
+    if (!job.work.key.empty() && marks_ && marks_->known(job.work.key, job.arrived)) {
       done.how = Ran::repeat;
     } else {
       done.effect = true;
--- a/src/machine/machine.h
+++ b/src/machine/machine.h
@@ -60,15 +60,16 @@
   bool effect;  // whether it changed data now
 };
 
-// The marks that a group of machines keeps of keyed work done, against repeats.
+// The marks that a group of machines keeps of keyed work done, against repeats: what reaches one of them
+// within the memory of a mark is a repeat, however long it then waits for its turn.
 class Marks {
  public:
   explicit Marks(Span memory) : memory_(memory) {}
-  bool known(const std::string& key, Span now);
+  bool known(const std::string& key, Span arrived);
   void done(const std::string& key, Span now);
 
  private:
-  void forget(Span now);
+  static constexpr Span waits_most = std::chrono::seconds(60);
   Span memory_;
   std::unordered_map<std::string, Span> at_{};
   std::deque<std::pair<Span, std::string>> order_{};
@@ -113,7 +114,7 @@
   struct Job {
     Work work;
     Ran how;
-    Span done{};
+    Span arrived{}, done{};
     bool quick = false;
   };
   bool draw(double share);
