--- a/tests/steps_test.cpp
+++ b/tests/steps_test.cpp
@@ -1,6 +1,7 @@
 // Steps: plays of the core (tests/steps/README.md), plans that must be refused (tests/plans), the core's
 // whole state space at small sizes, and a runner that is killed at every point between two writes.
 #include <Poco/ErrorHandler.h>
+#include <sqlite3.h>
 #include <unistd.h>
 
 #include <deque>
@@ -365,12 +366,12 @@
 const char* const crash_plan = R"P((plan (release 2)
   (step table (kind schema) (phase expand) (apply "CREATE TABLE chairs (id INTEGER PRIMARY KEY, room INTEGER)")
         (undo "DROP TABLE chairs") (on-back undo) (check "SELECT count(*) FROM sqlite_master WHERE name = 'chairs'")
-        (retry (tries 3) (pause 1ms) (pause-most 2ms)))
+        (timeout 150ms) (retry (tries 9) (pause 1ms) (pause-most 2ms)))
   (step counter (kind schema) (phase expand) (apply "UPDATE counter SET n = n + 1") (on-back keep)
-        (retry (tries 3) (pause 1ms) (pause-most 2ms)))
+        (timeout 150ms) (retry (tries 9) (pause 1ms) (pause-most 2ms)))
   (step fill (kind data) (phase migrate) (before-wave 1) (table visits) (key id) (batch 4) (on-back undo)
         (apply "UPDATE visits SET n = n + 1 WHERE id > :after AND id <= :upto") (undo "UPDATE visits SET n = 0")
-        (retry (tries 3) (pause 1ms) (pause-most 2ms)))))P";
+        (timeout 150ms) (retry (tries 9) (pause 1ms) (pause-most 2ms)))))P";
 
 struct Crashing {
   fs::path folder = fs::temp_directory_path() / ("robinhoist-steps-" + std::to_string(::getpid()));
@@ -521,11 +522,12 @@
 }
 
 TEST(Runner, bears_what_the_database_does) {
-  for (auto fault : {standin::DbFault::refuse, standin::DbFault::error_inside,
-                     standin::DbFault::drop_on_commit, standin::DbFault::locked}) {
+  for (auto fault :
+       {standin::DbFault::refuse, standin::DbFault::error_inside, standin::DbFault::drop_on_commit,
+        standin::DbFault::locked, standin::DbFault::hang, standin::DbFault::late}) {
     Crashing stage;
     stage.loop.call([&] {
-      stage.database->fault(fault, 2);
+      stage.database->fault(fault, 2, 300ms);
       stage.at = {.stage = 0, .offered = true};
       stage.start();
     });
@@ -598,6 +600,75 @@
   refused("damaged");
 }
 
+TEST(Runner, takes_an_edited_plan_only_where_nothing_was_touched) {
+  Crashing stage;
+  stage.loop.call([&] {
+    stage.at = {.stage = -1, .offered = true};
+    stage.start();
+  });
+  ASSERT_TRUE(stage.wait([&] { return stage.runner->allows(2, 0); }));
+  stage.loop.call([&] {
+    const std::string plan = crash_plan;
+    const auto refused = [&](std::string text, const char* words) {
+      try {
+        stage.runner->take_plan(text, "plan", "test");
+        ADD_FAILURE() << "taken, though " << words;
+      } catch (const settings::Invalid& bad) {
+        EXPECT_NE(std::string(bad.what()).find(words), std::string::npos) << bad.what();
+      }
+    };
+    std::string other = plan;
+    refused(other.replace(other.find("n + 1"), 5, "n + 2"), "has been applied with other content");
+    std::string fewer = plan;
+    fewer.replace(fewer.find("step counter"), 12, "step another");
+    refused(fewer, "step counter has been applied and is missing now");
+    // What has not run yet may be written anew.
+    std::string later = plan;
+    EXPECT_EQ(stage.runner->take_plan(later.replace(later.find("(batch 4)"), 9, "(batch 5)"), "plan", "test"),
+              2);
+    stage.move({.stage = 0, .offered = true});
+  });
+  EXPECT_TRUE(stage.wait([&] { return stage.runner->allows(2, 1); }));
+  stage.loop.call([&] { EXPECT_EQ(stage.database->ask("SELECT n FROM counter"), 1); });
+}
+
+TEST(Journal, takes_an_older_version_along_and_refuses_a_newer) {
+  const std::string file =
+      (fs::temp_directory_path() / ("robinhoist-old-" + std::to_string(::getpid()))).string();
+  fs::remove(file);
+  sqlite3* db = nullptr;
+  ASSERT_EQ(sqlite3_open(file.c_str(), &db), SQLITE_OK);
+  const char* first_version =
+      "PRAGMA application_id=1919902313; PRAGMA user_version=1; CREATE TABLE entries (id INTEGER PRIMARY "
+      "KEY, at_ms INTEGER "
+      "NOT NULL, build INTEGER NOT NULL, step TEXT NOT NULL, what TEXT NOT NULL, direction TEXT NOT NULL, "
+      "outcome TEXT NOT "
+      "NULL, after INTEGER NOT NULL, token INTEGER NOT NULL, attempt INTEGER NOT NULL, digest TEXT NOT "
+      "NULL); CREATE TABLE "
+      "plans (build INTEGER PRIMARY KEY, text TEXT NOT NULL, at_ms INTEGER NOT NULL); CREATE TABLE lease (id "
+      "INTEGER PRIMARY "
+      "KEY CHECK (id = 1), holder TEXT NOT NULL, token INTEGER NOT NULL, until_ms INTEGER NOT NULL); CREATE "
+      "TABLE state (key "
+      "TEXT PRIMARY KEY, value TEXT NOT NULL); INSERT INTO entries VALUES (1, 5, 2, 'a', 'intent', 'apply', "
+      "'', 0, 1, 1, 'd')";
+  ASSERT_EQ(sqlite3_exec(db, first_version, nullptr, nullptr, nullptr), SQLITE_OK) << sqlite3_errmsg(db);
+  {
+    Journal journal(file);
+    ASSERT_EQ(journal.entries(2).size(), 1u);
+    EXPECT_EQ(journal.entries(2)[0].step, "a");
+    EXPECT_EQ(journal.entries(2)[0].who, "");
+  }
+  ASSERT_EQ(sqlite3_exec(db, "PRAGMA user_version=9", nullptr, nullptr, nullptr), SQLITE_OK);
+  sqlite3_close(db);
+  try {
+    Journal journal(file);
+    ADD_FAILURE() << "a newer version was taken";
+  } catch (const JournalFailed& bad) {
+    EXPECT_NE(std::string(bad.what()).find("of version 9, newer than"), std::string::npos) << bad.what();
+  }
+  fs::remove(file);
+}
+
 TEST(Journal, full_it_says_so_and_keeps_what_it_has) {
   const std::string file =
       (fs::temp_directory_path() / ("robinhoist-full-" + std::to_string(::getpid()))).string();
