--- a/src/day/play.cpp
+++ b/src/day/play.cpp
@@ -23,14 +23,22 @@
 using namespace std::chrono_literals;
 namespace fs = std::filesystem;
 
-// Ports that nobody has now: all are held at once, then let go.
+// Ports that nobody has now, below those that the kernel gives to whoever asks for any: a node that starts
+// later must not get the port of an umpire that is down.
 std::vector<int> free_ports(std::size_t many) {
+  constexpr int first = 18000, last = 32000;
   net::Loop loop;
   std::vector<std::unique_ptr<net::Listener>> held;
   std::vector<int> ports;
-  for (std::size_t i = 0; i < many; ++i) {
-    held.push_back(std::make_unique<net::Listener>(loop, "127.0.0.1:0", [](int fd) { ::close(fd); }));
-    ports.push_back(held.back()->port());
+  for (int port = first + ::getpid() * 97 % (last - first - 2000); ports.size() < many; ++port) {
+    if (port > last) throw std::runtime_error("no free ports for the umpires");
+    try {
+      held.push_back(std::make_unique<net::Listener>(loop, "127.0.0.1:" + std::to_string(port),
+                                                     [](int fd) { ::close(fd); }));
+      ports.push_back(port);
+    } catch (const std::runtime_error&) {
+      // Taken; the next one.
+    }
   }
   return ports;
 }
