Idle sockets no longer spin the loop: POCO kept polling for what had left

An idle umpire used 0.34 of a core: POCO's reactor goes on polling for writability after that observer has left. All observers leave and those wanted come back.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -70,6 +70,22 @@
   Observer<Poco::Net::ReadableNotification> observer(*this, &Stream::on_readable);
   if (on) loop_.addEventHandler(socket_, observer);
   else loop_.removeEventHandler(socket_, observer);
+  if (!on) watch_anew();
+}
+
+// POCO goes on polling for what an observer that has left wanted, while others stay: guards against a loop that
+// spins on a socket which can always be written. All leave, and those still wanted come back.
+void Stream::watch_anew() {
+  if (!watching_) return;
+  Observer<Poco::Net::ReadableNotification> readable(*this, &Stream::on_readable);
+  Observer<Poco::Net::WritableNotification> writable(*this, &Stream::on_writable);
+  Observer<Poco::Net::ErrorNotification> error(*this, &Stream::on_error);
+  if (reading_) loop_.removeEventHandler(socket_, readable);
+  if (writing_) loop_.removeEventHandler(socket_, writable);
+  loop_.removeEventHandler(socket_, error);
+  loop_.addEventHandler(socket_, error);
+  if (reading_) loop_.addEventHandler(socket_, readable);
+  if (writing_) loop_.addEventHandler(socket_, writable);
 }
 
 void Stream::want_write(bool on) {
@@ -78,8 +94,10 @@
   Observer<Poco::Net::WritableNotification> observer(*this, &Stream::on_writable);
   if (on) loop_.addEventHandler(socket_, observer);
   else loop_.removeEventHandler(socket_, observer);
+  if (!on) watch_anew();
 }
 
+
 void Stream::read(bool on) {
   wanted_ = on;
   if (state_ == State::open) want_read(on);
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -50,6 +50,7 @@
   void on_error(Poco::Net::ErrorNotification* notice);
   void want_read(bool on);
   void want_write(bool on);
+  void watch_anew();
   bool flush();
   void close(Closed how);
   void leave_loop();
