One long poll for the node list and the releases' news

List service and controller held the same waiting requests, time-outs and number reading twice. Both now use http::LongPoll; what is told and when is the same. Those woken are taken one by one, so that a client that leaves while others are answered can't be taken off a list that it is no longer on. The umpire's poll states its wait once.

--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -8,13 +8,6 @@
 namespace robinhoist::controller {
 namespace {
 using namespace std::chrono_literals;
-constexpr Span most_wait = 60s;
-
-std::int64_t whole_or(const std::string& text, std::int64_t absent) {
-  if (text.empty() || text.size() > 15 || text.find_first_not_of("0123456789") != std::string::npos)
-    return absent;
-  return std::stoll(text);
-}
 
 const char* word(rollout::OrderKind kind) {
   static const char* const words[] = {"start", "drain", "stop"};
@@ -30,7 +23,8 @@
 Controller::Controller(net::Loop& loop, const Settings& settings, const log::Log& log, Orders orders,
                        Told told, Voted voted)
     : loop_(loop), settings_(settings), log_(log), orders_(std::move(orders)), told_(std::move(told)),
-      voted_(std::move(voted)), published_{},
+      voted_(std::move(voted)),
+      waiting_(loop, [this](const http::LongPoll::Asked& asked) { answer(asked); }), published_{},
       server_(std::make_unique<http::Server>(loop, settings.server,
                                              [this](const http::ExchangePtr& e) { handle(e); })) {
   settings_.rollout.gated = !settings.steps_target.empty();
@@ -63,13 +57,7 @@
   loop_.in(Span(0), [this] { pull(); });
 }
 
-Controller::~Controller() {
-  loop_.cancel(look_);
-  for (Waiting& waiting : waiting_) {
-    loop_.cancel(waiting.timer);
-    waiting.exchange->on_gone = nullptr;
-  }
-}
+Controller::~Controller() { loop_.cancel(look_); }
 
 void Controller::trouble(Trouble trouble, double count_share) {
   trouble_ = trouble;
@@ -173,40 +161,22 @@
   last_due_ = std::max(last_due_, now + lag_);
   loop_.at(last_due_, [this, next] {
     published_ = next;
-    auto waiting = std::move(waiting_);
-    waiting_.clear();
-    for (Waiting& one : waiting) answer(one);
+    waiting_.wake();
   });
 }
 
-void Controller::answer(Waiting& waiting) {
-  loop_.cancel(waiting.timer);
-  waiting.exchange->on_gone = nullptr;
+void Controller::answer(const http::LongPoll::Asked& asked) {
   rollout::News news{settings_.series, published_.version, published_.rel};
   news.rel.since = loop_.now() - published_.at;
-  if (told_) told_(waiting.umpire, news);
-  waiting.exchange->answer(http::json_answer(200, rollout::encoded(news)));
+  if (told_) told_(asked.umpire, news);
+  asked.exchange->answer(http::json_answer(200, rollout::encoded(news)));
 }
 
 void Controller::ask(const http::ExchangePtr& exchange) {
-  const http::Request& request = exchange->request;
-  Waiting waiting{exchange, request.query("umpire"), request.query("series"),
-                  whole_or(request.query("since"), 0)};
-  const auto wait =
-      std::min<Span>(most_wait, std::chrono::milliseconds(whole_or(request.query("wait_ms"), 0)));
-  if (waiting.series != settings_.series || waiting.since != published_.version || wait <= Span{})
-    return answer(waiting);
-  waiting_.push_back(std::move(waiting));
-  auto at = std::prev(waiting_.end());
-  at->timer = loop_.in(wait, [this, at] {
-    Waiting due = std::move(*at);
-    waiting_.erase(at);
-    answer(due);
-  });
-  exchange->on_gone = [this, at] {
-    loop_.cancel(at->timer);
-    waiting_.erase(at);
-  };
+  auto asked = http::LongPoll::read(exchange);
+  if (asked.series != settings_.series || asked.since != published_.version || asked.wait <= Span{})
+    return answer(asked);
+  waiting_.wait(std::move(asked));
 }
 
 void Controller::vote(const http::ExchangePtr& exchange) {
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -7,9 +7,9 @@
 //   orders not yet taken; POST /v1/machines {machine, state: up|gone}
 #pragma once
 #include <functional>
-#include <list>
 #include <random>
 
+#include "http/long_poll.h"
 #include "http/server.h"
 #include "log/log.h"
 #include "rollout/news.h"
@@ -56,12 +56,6 @@
   int port() const { return server_->port(); }
 
  private:
-  struct Waiting {
-    http::ExchangePtr exchange;
-    std::string umpire, series;
-    std::int64_t since;
-    net::Loop::Timer timer = net::Loop::no_timer;
-  };
   struct Published {
     std::int64_t version;
     RelNews rel;
@@ -69,7 +63,7 @@
   };
   void handle(const http::ExchangePtr& exchange);
   void ask(const http::ExchangePtr& exchange);
-  void answer(Waiting& waiting);
+  void answer(const http::LongPoll::Asked& asked);
   void vote(const http::ExchangePtr& exchange);
   void act(const http::ExchangePtr& exchange, const std::string& what);
   void steps(const http::ExchangePtr& exchange, const std::string& path);
@@ -86,7 +80,7 @@
   Orders orders_;
   Told told_;
   Voted voted_;
-  std::list<Waiting> waiting_{};
+  http::LongPoll waiting_;
   std::vector<rollout::Order> untaken_{};  // for whoever fetches orders
   std::vector<rollout::Order> untold_{};   // decided, but not yet on disk
   Published published_;
--- /dev/null
+++ b/src/http/long_poll.h
@@ -0,0 +1,44 @@
+// Requests that wait for something newer than a version of a series:
+// `?series=S&since=V&wait_ms=N&umpire=NAME`.
+#pragma once
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <string>
+
+#include "http/server.h"
+
+namespace robinhoist::http {
+
+class LongPoll {
+ public:
+  struct Asked {
+    ExchangePtr exchange;
+    std::string umpire, series;
+    std::int64_t since;
+    net::Span wait;  // zero: answered at once
+  };
+  using Answer = std::function<void(const Asked&)>;
+
+  LongPoll(net::Loop& loop, Answer answer) : loop_(loop), answer_(std::move(answer)) {}
+  ~LongPoll();
+  LongPoll(const LongPoll&) = delete;
+  LongPoll& operator=(const LongPoll&) = delete;
+
+  static Asked read(const ExchangePtr& exchange);
+  // Answers when woken, at the end of the wait, or never if the client leaves before.
+  void wait(Asked asked);
+  void wake();
+
+ private:
+  struct Waiting {
+    Asked asked;
+    net::Loop::Timer timer = net::Loop::no_timer;
+  };
+  void answer(std::list<Waiting>::iterator at);
+  net::Loop& loop_;
+  Answer answer_;
+  std::list<Waiting> waiting_{};
+};
+
+}  // namespace robinhoist::http
--- a/src/list/service.cpp
+++ b/src/list/service.cpp
@@ -7,27 +7,16 @@
 namespace robinhoist::list {
 namespace {
 using namespace std::chrono_literals;
-constexpr net::Span gather = 2ms, most_wait = 60s;  // changes that come together are told together
-
-std::int64_t whole_or(const std::string& text, std::int64_t absent) {
-  if (text.empty() || text.size() > 15 || text.find_first_not_of("0123456789") != std::string::npos)
-    return absent;
-  return std::stoll(text);
-}
+constexpr net::Span gather = 2ms;  // changes that come together are told together
 }  // namespace
 
 Service::Service(net::Loop& loop, const http::ServerSettings& server, const std::string& series, Told told)
     : loop_(loop), registry_(series), told_(std::move(told)),
+      waiting_(loop, [this](const http::LongPoll::Asked& asked) { answer(asked); }),
       server_(
           std::make_unique<http::Server>(loop, server, [this](const http::ExchangePtr& e) { handle(e); })) {}
 
-Service::~Service() {
-  loop_.cancel(wake_);
-  for (Waiting& waiting : waiting_) {
-    loop_.cancel(waiting.timer);
-    waiting.exchange->on_gone = nullptr;
-  }
-}
+Service::~Service() { loop_.cancel(wake_); }
 
 void Service::later(std::function<bool()> change) {
   last_due_ = std::max(last_due_, loop_.now() + lag_);
@@ -54,39 +43,21 @@
   if (wake_.second != 0) return;
   wake_ = loop_.in(gather, [this] {
     wake_ = net::Loop::no_timer;
-    auto waiting = std::move(waiting_);
-    waiting_.clear();
-    for (Waiting& one : waiting) answer(one);
+    waiting_.wake();
   });
 }
 
-void Service::answer(Waiting& waiting) {
-  loop_.cancel(waiting.timer);
-  waiting.exchange->on_gone = nullptr;
-  News news = registry_.since(waiting.series, waiting.since);
-  if (told_) told_(waiting.umpire, news);
-  waiting.exchange->answer(http::json_answer(200, encoded(news)));
+void Service::answer(const http::LongPoll::Asked& asked) {
+  News news = registry_.since(asked.series, asked.since);
+  if (told_) told_(asked.umpire, news);
+  asked.exchange->answer(http::json_answer(200, encoded(news)));
 }
 
 void Service::ask(const http::ExchangePtr& exchange) {
-  const http::Request& request = exchange->request;
-  Waiting waiting{exchange, request.query("umpire"), request.query("series"),
-                  whole_or(request.query("since"), 0)};
-  const auto wait =
-      std::min<net::Span>(most_wait, std::chrono::milliseconds(whole_or(request.query("wait_ms"), 0)));
-  const News now = registry_.since(waiting.series, waiting.since);
-  if (now.whole || !now.entries.empty() || wait <= net::Span{}) return answer(waiting);
-  waiting_.push_back(std::move(waiting));
-  auto at = std::prev(waiting_.end());
-  at->timer = loop_.in(wait, [this, at] {
-    Waiting due = std::move(*at);
-    waiting_.erase(at);
-    answer(due);
-  });
-  exchange->on_gone = [this, at] {
-    loop_.cancel(at->timer);
-    waiting_.erase(at);
-  };
+  auto asked = http::LongPoll::read(exchange);
+  const News now = registry_.since(asked.series, asked.since);
+  if (now.whole || !now.entries.empty() || asked.wait <= net::Span{}) return answer(asked);
+  waiting_.wait(std::move(asked));
 }
 
 void Service::handle(const http::ExchangePtr& exchange) {
--- a/src/list/service.h
+++ b/src/list/service.h
@@ -5,8 +5,8 @@
 // What is put can be told later than it came, for trying out how umpires bear a list that lags.
 #pragma once
 #include <functional>
-#include <list>
 
+#include "http/long_poll.h"
 #include "http/server.h"
 #include "list/registry.h"
 
@@ -28,15 +28,9 @@
   const Registry& registry() const { return registry_; }
 
  private:
-  struct Waiting {
-    http::ExchangePtr exchange;
-    std::string umpire, series;
-    std::int64_t since;
-    net::Loop::Timer timer = net::Loop::no_timer;
-  };
   void handle(const http::ExchangePtr& exchange);
   void ask(const http::ExchangePtr& exchange);
-  void answer(Waiting& waiting);
+  void answer(const http::LongPoll::Asked& asked);
   void later(std::function<bool()> change);
   void wake();
 
@@ -44,7 +38,7 @@
   Registry registry_;
   Told told_;
   net::Span lag_{}, last_due_{};
-  std::list<Waiting> waiting_{};
+  http::LongPoll waiting_;
   net::Loop::Timer wake_ = net::Loop::no_timer;
   std::unique_ptr<http::Server> server_;
 };
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -73,8 +73,8 @@
   if (!on) watch_anew();
 }
 
-// POCO goes on polling for what an observer that has left wanted, while others stay: guards against a loop that
-// spins on a socket which can always be written. All leave, and those still wanted come back.
+// POCO goes on polling for what an observer that has left wanted, while others stay: guards against a loop
+// that spins on a socket which can always be written. All leave, and those still wanted come back.
 void Stream::watch_anew() {
   if (!watching_) return;
   Observer<Poco::Net::ReadableNotification> readable(*this, &Stream::on_readable);
@@ -97,7 +97,6 @@
   if (!on) watch_anew();
 }
 
-
 void Stream::read(bool on) {
   wanted_ = on;
   if (state_ == State::open) want_read(on);
--- a/src/umpire/sources.cpp
+++ b/src/umpire/sources.cpp
@@ -15,7 +15,7 @@
   return settings;
 }
 
-std::string wait_ms() { return std::to_string(std::chrono::milliseconds(10000).count()); }
+std::string wait_ms() { return std::to_string(poll_wait.count() / 1000); }
 }  // namespace
 
 Poll::Poll(net::Loop& loop, const std::string& from, unsigned salt, const log::Log& log)
