--- a/src/benchlink/wire.h
+++ b/src/benchlink/wire.h
@@ -7,6 +7,7 @@
 
 #include "json/fields.h"
 #include "logic.h"
+#include "params/params.h"
 
 namespace robinhoist::benchlink {
 
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -12,6 +12,8 @@
 #include "controller/process.h"
 #include "day/play.h"
 #include "emulator/run.h"
+#include "json/fields.h"
+#include "platform/process.h"
 #include "standin/agent.h"
 #include "standin/database.h"
 #include "umpire/process.h"
@@ -116,6 +118,9 @@
     return sub;
   };
   CLI::App* umpire = add("umpire", "Run one umpire: an HTTP/1.1 reverse proxy that routes, judges and votes");
+  CLI::App* platform = app.add_subcommand(
+      "platform", "Run one umpire on the operators' platform, told all by its configuration file");
+  platform->add_option("--config", config, "The file, as JSON")->envname("ROUTER_CONFIG")->required();
   CLI::App* controller =
       add("controller", "Run the release controller: waves, caps, votes, orders to machines");
   CLI::App* list = add("list", "Run the list of nodes that umpires watch");
@@ -155,6 +160,7 @@
     if (*app.get_subcommand("txn")) return txn;
     if (*app.get_subcommand("lab")) return lab;
     if (*database) return rh::standin::run_database(listen, out, setup);
+    if (*platform) return rh::platform::run(config);
     if (*checks) return check(config);
     if (*audits) return audit(config);
     if (*days) return play(config, seed, out);
@@ -164,6 +170,9 @@
     if (*controller) return rh::controller::run(rh::controller::read(root));
     if (*list) return rh::controller::run_list(rh::controller::read_list(root));
     if (*standin) return rh::standin::run(rh::standin::read(root));
+  } catch (const rh::json::BadInput& bad) {
+    std::cerr << bad.what() << "\n";
+    return 2;
   } catch (const rh::settings::Invalid& invalid) {
     std::cerr << invalid.what() << "\n";
     return 2;
--- a/src/http/caller.cpp
+++ b/src/http/caller.cpp
@@ -1,16 +1,18 @@
 #include "http/caller.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace robinhoist::http {
 
 // One connection and the call that it carries, if any.
 class Connection : public net::Stream::Owner, public std::enable_shared_from_this<Connection> {
  public:
-  Connection(Caller& caller) : caller_(&caller), reader_(caller.settings_.limits) {}
-  ~Connection() override {
-    if (stream_) stream_->drop();
+  Connection(Caller& caller)
+      : caller_(&caller), budget_(caller.settings_.budget), reader_(caller.settings_.limits) {
+    if (budget_) ++budget_->open_;
   }
+  ~Connection() override { shut(false); }
 
   void connect() {
     stream_ = net::Stream::connect(caller_->loop_, caller_->peer_, *this);
@@ -26,7 +28,7 @@
     caller_->loop_.cancel(timer_);
     timer_ = caller_->loop_.in(within, [this] {
       timer_ = net::Loop::no_timer;
-      end(written_ ? Ended::timed_out : Ended::unreached);
+      end(whole() ? Ended::timed_out : Ended::unreached);
     });
     reader_.expect(request.method == "HEAD");
     written_ = false;
@@ -56,8 +58,8 @@
     if (busy() && how == net::Closed::by_peer && reader_.begun() &&
         reader_.read(stream.in(), true) == Read::whole)
       return finished();
-    end(written_ ? (reader_.fault().status != 0 && reader_.begun() ? Ended::garbled : Ended::broken)
-                 : Ended::unreached);
+    end(whole() ? (reader_.fault().status != 0 && reader_.begun() ? Ended::garbled : Ended::broken)
+                : Ended::unreached);
   }
 
   // The connection is over; its call, if any, ends so.
@@ -68,7 +70,7 @@
     caller_ = nullptr;
     caller->loop_.cancel(timer_);
     caller->loop_.cancel(connect_timer_);
-    if (stream_) stream_->drop(how == Ended::cancelled || how == Ended::timed_out);
+    shut(how == Ended::cancelled || how == Ended::timed_out);
     caller->remove(this);
     tell(how, {});
   }
@@ -81,9 +83,26 @@
 
   bool busy() const { return done_ != nullptr; }
   Caller::Id id() const { return busy() ? id_ : 0; }
-  bool usable() const { return caller_ && stream_ && stream_->open(); }
+  // Not one on which the peer has said something meanwhile, or its end: guards against taking what came late
+  // behind one answer for the next.
+  bool usable() const { return caller_ && stream_ && stream_->open() && stream_->quiet(); }
+  // All of the request is with the kernel.
+  bool whole() const { return written_ && stream_->unwritten() == 0; }
+  bool written() const { return written_; }
+  void busy_again() {
+    if (idle_at_) budget_->idle_.erase(*idle_at_);
+    idle_at_.reset();
+  }
 
  private:
+  void shut(bool reset) {
+    if (std::exchange(shut_, true)) return;
+    if (stream_) stream_->drop(reset);
+    if (!budget_) return;
+    busy_again();
+    --budget_->open_;
+  }
+
   void send() {
     written_ = true;
     stream_->write(out_);
@@ -99,7 +118,7 @@
       Caller* caller = caller_;
       caller_ = nullptr;
       caller->loop_.cancel(timer_);
-      stream_->drop();
+      shut(false);
       caller->remove(this);
     } else {
       caller_->loop_.cancel(timer_);
@@ -108,6 +127,7 @@
         end(Ended::cancelled);
       });
       caller_->idle_.push_back(this);
+      if (budget_) idle_at_ = budget_->idle_.insert(budget_->idle_.end(), this);
     }
     tell(Ended::answered, std::move(response));
   }
@@ -119,15 +139,22 @@
   }
 
   Caller* caller_;
+  std::shared_ptr<Budget> budget_;
+  std::optional<std::list<Connection*>::iterator> idle_at_{};
   std::shared_ptr<net::Stream> stream_{};
   ResponseReader reader_;
   Caller::Id id_ = 0;
   Caller::Done done_{};
   std::string out_{};
   net::Loop::Timer timer_ = net::Loop::no_timer, connect_timer_ = net::Loop::no_timer;
-  bool written_ = false;
+  bool written_ = false, shut_ = false;
 };
 
+bool Budget::room() {
+  if (open_ >= most_ && !idle_.empty()) idle_.front()->end(Ended::cancelled);
+  return open_ < most_;
+}
+
 Caller::Caller(net::Loop& loop, Poco::Net::SocketAddress peer, const CallerSettings& settings)
     : loop_(loop), peer_(std::move(peer)), host_(peer_.toString()), settings_(settings) {}
 
@@ -141,13 +168,17 @@
   while (!idle_.empty()) {
     Connection* last = idle_.back();
     idle_.pop_back();
-    if (!last->usable()) continue;
+    if (!last->usable()) {
+      last->end(Ended::cancelled);
+      continue;
+    }
     ++reused_;
+    last->busy_again();
     last->carry(id, request, within, std::move(done));
     return id;
   }
-  if (connections_.size() >= settings_.most_connections) {
-    loop_.in(net::Span(0), [done = std::move(done)] { done(Ended::unreached, {}); });
+  if (connections_.size() >= settings_.most_connections || (settings_.budget && !settings_.budget->room())) {
+    loop_.in(net::Span(0), [done = std::move(done)] { done(Ended::withheld, {}); });
     return 0;
   }
   ++opened_;
@@ -164,6 +195,17 @@
     if (connection->id() == id) return std::shared_ptr<Connection>(connection)->abandon();
 }
 
+bool Caller::recall(Id id) {
+  if (id == 0) return false;
+  for (auto& connection : connections_)
+    if (connection->id() == id) {
+      if (connection->written()) return false;
+      std::shared_ptr<Connection>(connection)->abandon();
+      return true;
+    }
+  return false;
+}
+
 void Caller::close_idle() {
   auto idle = idle_;
   for (Connection* connection : idle) connection->end(Ended::cancelled);
--- a/src/http/caller.h
+++ b/src/http/caller.h
@@ -3,6 +3,7 @@
 #pragma once
 #include <deque>
 #include <functional>
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -14,18 +15,38 @@
 namespace robinhoist::http {
 
 // How a call ended. Only `answered` comes with a response. `unreached` means that not a byte of the request
-// left this process on an open connection, so that the peer can't have acted on it.
-enum class Ended { answered, unreached, broken, garbled, timed_out, cancelled };
+// left this process whole on an open connection, so that the peer can't have acted on it; `withheld` the same
+// where it was our own limits that left no connection for it.
+enum class Ended { answered, unreached, withheld, broken, garbled, timed_out, cancelled };
+
+class Connection;
+
+// Connections that several callers have together at most. Where they have them all, the one that has been
+// idle for longest makes room.
+class Budget {
+ public:
+  explicit Budget(std::size_t most) : most_(most) {}
+  Budget(const Budget&) = delete;
+  Budget& operator=(const Budget&) = delete;
+  std::size_t open() const { return open_; }
+  std::size_t idle() const { return idle_.size(); }
+
+ private:
+  friend class Connection;
+  friend class Caller;
+  bool room();
+  std::size_t most_, open_ = 0;
+  std::list<Connection*> idle_{};  // the longest idle first
+};
 
 struct CallerSettings {
   std::size_t most_connections = 64;
   net::Span connect_within = std::chrono::milliseconds(250);
   net::Span keep_for = std::chrono::seconds(30);  // an idle connection
   Limits limits{};
+  std::shared_ptr<Budget> budget{};  // none: `most_connections` is the only bound
 };
 
-class Connection;
-
 class Caller {
  public:
   using Done = std::function<void(Ended, Response&&)>;
@@ -41,6 +62,8 @@
   Id call(const Request& request, net::Span within, Done done);
   // Closes the connection that carries it: there is no other way to call off HTTP/1.1.
   void cancel(Id id);
+  // Takes a call back that has not been written yet; `done` does not run. False: it has been.
+  bool recall(Id id);
   void close_idle();
 
   std::size_t open() const { return connections_.size(); }
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -222,6 +222,15 @@
     fault_ = fault_of(error);
     return Read::bad;
   }
+  if (parser->is_header_done()) {
+    // Guards against two readings of where a request ends (RFC 9112, 6.1): one could hide another in it.
+    auto& message = parser->get();
+    if (message.count(beast::field::transfer_encoding) > 0 &&
+        (!parser->chunked() || message.count(beast::field::content_length) > 0)) {
+      fault_ = {400, "where the body ends is not clear"};
+      return Read::bad;
+    }
+  }
   return parser->is_done() ? Read::whole : Read::more;
 }
 
@@ -283,6 +292,10 @@
     fault_ = fault_of(error);
     return Read::bad;
   }
+  if (limits_.framed && parser.is_header_done() && parser.need_eof()) {
+    fault_ = {400, "an answer without a length"};
+    return Read::bad;
+  }
   if (!parser.is_done()) return Read::more;
   // An interim answer (100, 103) is not the answer.
   if (unsigned status = parser.get().result_int(); status >= 100 && status < 200 && status != 101) {
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -43,6 +43,7 @@
 
 struct Limits {
   std::size_t header = 16 * 1024, body = 1024 * 1024;  // bytes
+  bool framed = false;  // an answer whose end is only the connection's is none: it can't be told from a part
 };
 
 std::string_view reason(int status);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -5,6 +5,10 @@
 #include <utility>
 
 namespace robinhoist::http {
+namespace {
+constexpr net::Span asking_for = std::chrono::milliseconds(50);
+constexpr int tries_for_room = 8;  // clients looked at that turn out to have just asked
+}  // namespace
 
 // A client's connection. One request is with the handler at a time; others wait in the buffer, and reading
 // stops while it holds more than one head may have.
@@ -15,7 +19,23 @@
   }
   ~Client() override { stream_->drop(); }
 
-  void start() { wait(server_->settings_.idle_for); }
+  void start() {
+    since_ = server_->loop_.now();
+    const net::Span first = server_->settings_.first_within;
+    wait(first > net::Span{} ? first : server_->settings_.idle_for);
+  }
+
+  // Since when it has no request open, if so.
+  std::optional<net::Span> idle_since() const {
+    if (open_ || closing_) return {};
+    return since_;
+  }
+  // Whether a request is on its way into this process: then it is not to be closed as idle.
+  bool asking() {
+    if (stream_->quiet()) return false;
+    since_ = server_->loop_.now();
+    return true;
+  }
 
   void on_bytes(net::Stream&) override { next(); }
   void on_written(net::Stream&) override {
@@ -29,7 +49,7 @@
     if (!server_) return;
     out_.clear();
     Response sent = response;
-    sent.keep_alive = sent.keep_alive && keep_alive_ && !server_->draining_;
+    sent.keep_alive = sent.keep_alive && keep_alive_ && !server_->leaving();
     put(out_, sent, head_only_);
     stream_->write(out_);
     after(sent.keep_alive);
@@ -56,7 +76,7 @@
     put_chunk(out_, bytes);
     put_last_chunk(out_);
     stream_->write(out_);
-    after(keep_alive_ && !server_->draining_);
+    after(keep_alive_ && !server_->leaving());
   }
 
   void leave(bool reset = false) {
@@ -71,7 +91,7 @@
   }
 
   void close_if_idle() {
-    if (!open_ && server_) leave();
+    if (server_ && idle_since() && !asking()) leave();
   }
 
   std::size_t unwritten() const { return stream_->unwritten(); }
@@ -92,6 +112,7 @@
       wait(server_->settings_.head_within);
       return;
     }
+    since_ = server_->loop_.now();
     wait(server_->settings_.idle_for);
     if (in_handler_) return;
     stream_->read(true);
@@ -116,7 +137,8 @@
       if (read == Read::bad) return refuse(reader_.fault().status, reader_.fault().why);
       if (reader_.wants_continue()) stream_->write("HTTP/1.1 100 Continue\r\n\r\n");
       if (read == Read::more) {
-        if (reader_.begun() && !had_begun) wait(server_->settings_.head_within);
+        if (reader_.begun() && !had_begun && !(first_ && server_->settings_.first_within > net::Span{}))
+          wait(server_->settings_.head_within);
         return stream_->read(true);
       }
       Request request = reader_.take();
@@ -137,6 +159,7 @@
     timer_ = server_->loop_.in(span, [this] {
       timer_ = net::Loop::no_timer;
       if (!closing_ && reader_.begun()) return refuse(408, "the request took too long to come");
+      if (!closing_ && asking() && stream_->in().empty()) return wait(asking_for);
       leave();
     });
   }
@@ -146,6 +169,7 @@
   RequestReader reader_;
   ExchangePtr open_{};
   net::Loop::Timer timer_ = net::Loop::no_timer;
+  net::Span since_{};
   std::string out_{};
   bool keep_alive_ = true, head_only_ = false, closing_ = false, in_handler_ = false, first_ = true;
 };
@@ -199,7 +223,7 @@
 Server::~Server() { cut(); }
 
 void Server::accepted(int fd) {
-  if (draining_ || clients_.size() >= settings_.most_clients) {
+  if (draining_ || (clients_.size() >= settings_.most_clients && !room())) {
     ++refused_;
     ::close(fd);
     return;
@@ -209,9 +233,27 @@
   client->start();
 }
 
+bool Server::room() {
+  if (!settings_.make_room) return false;
+  for (int tries = 0; tries < tries_for_room && clients_.size() >= settings_.most_clients; ++tries) {
+    std::shared_ptr<Client> longest;
+    net::Span since{};
+    for (auto& client : clients_)
+      if (auto at = client->idle_since(); at && (!longest || *at < since)) longest = client, since = *at;
+    if (!longest) return false;
+    longest->close_if_idle();
+  }
+  return clients_.size() < settings_.most_clients;
+}
+
+void Server::retire() {
+  retiring_ = true;
+  close_idle(0);
+}
+
 void Server::drain() {
+  listener_->finish();
   draining_ = true;
-  listener_->pause(true);
   close_idle(0);
 }
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -18,7 +18,9 @@
   std::size_t most_clients = 10000;
   net::Span head_within = std::chrono::seconds(10);  // for a request to have come whole, once begun
   net::Span idle_for = std::chrono::seconds(60);     // between two requests
-  std::size_t stream_backlog = 256 * 1024;           // bytes unread by a client of a stream before it is cut
+  net::Span first_within{};  // for the first to have come whole since the connection; 0: as any other
+  bool make_room = false;    // at the most, the client that has been idle for longest makes room for another
+  std::size_t stream_backlog = 256 * 1024;  // bytes unread by a client of a stream before it is cut
 };
 
 class Server;
@@ -62,6 +64,8 @@
   std::size_t clients() const { return clients_.size(); }
   long starved() const { return listener_->starved(); }
   long refused() const { return refused_; }
+  // Takes new clients still, but each leaves after its next answer, and those without a request at once.
+  void retire();
   // Takes no new clients; those it has are closed once they have no request open.
   void drain();
   // Takes none for a while, or again.
@@ -76,13 +80,15 @@
  private:
   friend class Client;
   void accepted(int fd);
+  bool room();
+  bool leaving() const { return draining_ || retiring_; }
   net::Loop& loop_;
   ServerSettings settings_;
   Handler handler_;
   std::unique_ptr<net::Listener> listener_;
   std::set<std::shared_ptr<Client>> clients_{};
   long refused_ = 0;
-  bool draining_ = false;
+  bool draining_ = false, retiring_ = false;
 };
 
 // Plain answers that every part gives alike.
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -13,6 +13,7 @@
 namespace robinhoist::net {
 namespace {
 constexpr std::size_t read_at_once = 64 * 1024;
+constexpr std::size_t kept_at_most = 4 * 1024;  // of an empty buffer: large messages are rare
 constexpr Span starved_pause = std::chrono::milliseconds(50);
 
 template <class N>
@@ -170,10 +171,17 @@
     out_at_ += static_cast<std::size_t>(put);
   }
   out_.clear();
+  if (out_.capacity() > kept_at_most) std::string().swap(out_);
   out_at_ = 0;
   return true;
 }
 
+bool Stream::quiet() const {
+  char one;
+  return in_.empty() && ::recv(socket_.impl()->sockfd(), &one, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         would_block();
+}
+
 void Stream::on_readable(Poco::Net::ReadableNotification* notice) {
   notice->release();
   auto self = shared_from_this();
@@ -183,6 +191,7 @@
     received_ += static_cast<std::uint64_t>(got);
     in_.append(buffer, static_cast<std::size_t>(got));
     if (owner_) owner_->on_bytes(*this);
+    if (in_.empty() && in_.capacity() > kept_at_most) std::string().swap(in_);
   } else if (got == 0) {
     close(Closed::by_peer);
   } else if (!would_block()) {
@@ -244,7 +253,16 @@
 
 Listener::~Listener() { loop_.cancel(again_); }
 
+void Listener::finish() {
+  if (!watched_) return;
+  for (int fd; (fd = ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0;) accepted_(fd);
+  loop_.cancel(again_);
+  paused_ = true;
+  watched_.reset();  // closes it
+}
+
 void Listener::pause(bool on) {
+  if (!watched_) return;
   paused_ = on;
   loop_.cancel(again_);
   watched_->listen(!on);
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -38,6 +38,8 @@
   // Ends it now; the owner hears nothing any more. With `reset` the peer sees a broken connection.
   void drop(bool reset = false);
   bool open() const { return state_ == State::open; }
+  // Whether there is nothing to be read, not even the peer's end.
+  bool quiet() const;
   std::uint64_t received() const { return received_; }
   std::uint64_t sent() const { return sent_; }
   std::string peer() const { return peer_; }
@@ -74,6 +76,8 @@
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
   int port() const { return port_; }
+  // Takes those who wait and then no more: what the kernel has accepted is not left to break.
+  void finish();
   // While paused, new clients keep their place in the kernel's queue.
   void pause(bool on);
   // How often the process had no file descriptor left for a new connection.
--- /dev/null
+++ b/src/params/params.cpp
@@ -0,0 +1,148 @@
+#include "params/params.h"
+
+#include <algorithm>
+
+namespace robinhoist::params {
+namespace {
+
+using namespace json;
+
+double positive(const Json& object, const char* field) {
+  double value = number(object, field);
+  if (!(value > 0)) throw BadInput(std::string("setting ") + field + " must be above 0");
+  return value;
+}
+
+double not_negative(const Json& object, const char* field) {
+  double value = number(object, field);
+  if (!(value >= 0)) throw BadInput(std::string("setting ") + field + " must not be below 0");
+  return value;
+}
+
+void txn_settings(const Json& params, Params& to) {
+  TxnSettings& settings = to.txns;
+  for (const Json& entry : array(params, "classes").GetArray()) {
+    if (!entry.IsObject()) mistyped("classes", "an array of objects");
+    Product product{};
+    product.sla = span(positive(entry, "goal_time_ms"));
+    product.expiry = span(positive(entry, "deadline_ms"));
+    product.memory = span(not_negative(entry, "dedup_window_ms"));
+    product.effect = word<Effect>(
+        entry, "effect",
+        {{"free", Effect::inquiry}, {"guarded", Effect::referenced}, {"single_shot", Effect::once_only}});
+    product.group =
+        word<Group>(entry, "group", {{"all", Group::all}, {"zone", Group::zone}, {"cell", Group::cell}});
+    product.revenue = not_negative(entry, "worth");
+    product.late_share = not_negative(entry, "late_share");
+    product.stream = truth(entry, "streaming");
+    settings.products.push_back(product);
+    to.products.push_back(text_or(entry, "name", ""));
+  }
+  if (settings.products.empty()) throw BadInput("setting classes is empty");
+  for (const Json& entry : array(params, "tenants").GetArray()) {
+    if (!entry.IsObject()) mistyped("tenants", "an array of objects");
+    settings.tenants.push_back({not_negative(entry, "fraction"), not_negative(entry, "allowance_per_s")});
+    to.tenants.push_back(text_or(entry, "name", ""));
+  }
+  const Json& bounds = inner(params, "bounds");
+  settings.max_submissions = whole(bounds, "max_attempts", 1);
+  settings.umpires = whole(params, "balancers", 1);
+  settings.second_copies = truth(bounds, "second_copies");
+  settings.cancelling = truth(bounds, "cancelling");
+  settings.advice = truth(bounds, "retry_after");
+  settings.max_pause = span(not_negative(bounds, "max_retry_after_ms"));
+  settings.slack = span(not_negative(inner(params, "safety"), "answer_slack_ms"));
+  settings.tick = span(positive(params, "tick_ms"));
+  settings.over_share_revenue = not_negative(params, "over_share_worth");
+}
+
+NodeSettings node_settings(const Json& params) {
+  const Json& safety = inner(params, "safety");
+  NodeSettings settings{};
+  settings.zone = whole(params, "zone");
+  settings.me = whole(params, "me");
+  settings.umpires = whole(params, "balancers", 1);
+  settings.cold_for = time_of(safety, "cold_ms");
+  settings.fall_window = span(positive(safety, "fall_ms"));
+  settings.ask_within = span(not_negative(safety, "ask_within_ms"));
+  settings.cold_from = positive(safety, "cold_from");
+  if (settings.cold_from > 1) throw BadInput("setting cold_from must not be above 1");
+  settings.fall_multiple = positive(safety, "fall_multiple");
+  settings.must_ask = word<bool>(params, "registry_mode", {{"automatic", false}, {"subscribe", true}});
+  settings.sized =
+      word<bool>(params, "weights", {{"silent", false}, {"nominal", true}, {"rough", true}, {"live", true}});
+  settings.probes = truth(inner(params, "bounds"), "probes");
+  settings.reports =
+      word<Reports>(inner(params, "load_report"), "source",
+                    {{"piggyback", Reports::answers}, {"pull", Reports::probes}, {"silent", Reports::none}});
+  return settings;
+}
+
+ExposureSettings exposure_settings(const Json& info) {
+  ExposureSettings settings{};
+  settings.window = span(positive(info, "window_ms"));
+  settings.free = not_negative(info, "free");
+  settings.by_product = word<bool>(info, "counts", {{"all", false}, {"each_class", true}});
+  settings.one_way = truth(info, "one_way");
+  settings.in_place = word<bool>(info, "replace_mode", {{"parallel", false}, {"replace", true}});
+  settings.safe_only_stages = whole(info, "safe_only_stages");
+  for (const Json& cap : array(info, "caps").GetArray()) {
+    if (!cap.IsNumber() || cap.GetDouble() < 0) mistyped("caps", "an array of numbers from 0");
+    settings.caps.push_back(cap.GetDouble());
+  }
+  return settings;
+}
+
+GateSettings gate_settings(const Json& params, const Json& info) {
+  GateSettings settings{};
+  settings.gate =
+      word<Gate>(info, "gate_mode",
+                 {{"first_voice", Gate::first_vote}, {"by_count", Gate::count}, {"automatic", Gate::clock}});
+  settings.bake = span(not_negative(info, "bake_ms"));
+  settings.step = span(not_negative(info, "moves_after_ms"));
+  settings.vote_life = span(positive(info, "vote_stands_ms"));
+  settings.call_timeout = span(positive(info, "call_timeout_ms"));
+  settings.calls_per_s = not_negative(info, "calls_per_s");
+  settings.flag_share = not_negative(info, "flag_share");
+  settings.umpires = whole(params, "balancers", 1);
+  settings.to_advance = whole(info, "to_advance");
+  settings.to_hold = whole(info, "hold_votes");
+  settings.to_revert = whole(info, "votes_to_revert");
+  return settings;
+}
+
+}  // namespace
+
+int Params::index(const std::vector<std::string>& among, std::string_view name) {
+  auto at = std::find(among.begin(), among.end(), name);
+  return at == among.end() ? -1 : static_cast<int>(at - among.begin());
+}
+
+Params decode(const Json& object) {
+  Params to;
+  const Json& info = inner(object, "family_info");
+  txn_settings(object, to);
+  to.nodes = node_settings(object);
+  to.exposure = exposure_settings(info);
+  to.gate = gate_settings(object, info);
+  const Json& bounds = inner(object, "bounds");
+  to.connect_within = span(number_or(bounds, "connect_timeout_ms", 0));
+  to.keep_idle = span(number_or(bounds, "keepalive_ms", 0));
+  if (present(object, "failure_domains"))
+    for (const Json& zone : array(object, "failure_domains").GetArray()) {
+      if (!zone.IsString()) mistyped("failure_domains", "an array of names");
+      to.zones.emplace_back(zone.GetString(), zone.GetStringLength());
+    }
+  return to;
+}
+
+void put_load(Load& load, std::string_view name, double value) {
+  if (!(value >= 0) || !std::isfinite(value)) return;
+  const std::pair<const char*, std::optional<double>*> places[] = {
+      {"busy_reqs", &load.held},    {"pending", &load.waiting},     {"cpu_share", &load.busy},
+      {"svc_ms", &load.service_ms}, {"served_ps", &load.served_ps}, {"failed_ps", &load.failed_ps}};
+  for (auto& [word, place] : places)
+    if (name == word) *place = value;
+}
+
+}  // namespace robinhoist::params
--- /dev/null
+++ b/src/platform/config.h
@@ -0,0 +1,34 @@
+// What the operators' platform tells an umpire in its configuration file: one JSON object with its name, its
+// addresses, its limits, the deployment's settings, and what nodes and releases were last known.
+#pragma once
+#include <string>
+#include <string_view>
+
+#include "list/registry.h"
+#include "params/params.h"
+
+namespace robinhoist::platform {
+
+struct Limits {
+  double cores = 1, memory_mb = 0;
+  int sockets = 0;
+};
+
+struct Config {
+  std::string name{}, listen{}, discovery{}, release_api{};
+  unsigned salt = 1;
+  Limits limits{};
+  params::Params params{};
+  list::News known{};
+  RelNews news{};
+};
+
+// Throws json::BadInput naming the field and what is wrong with it.
+Config decoded(std::string_view text);
+Config of_file(const std::string& file);
+
+// The platform's words, as they come in the file and on sockets alike.
+list::News nodes_of(const json::Json& object);
+RelNews rel_of(const json::Json& object);
+
+}  // namespace robinhoist::platform
--- /dev/null
+++ b/src/platform/process.cpp
@@ -0,0 +1,120 @@
+#include "platform/process.h"
+
+#include <malloc.h>
+
+#include <algorithm>
+#include <csignal>
+
+#include "net/signals.h"
+#include "platform/protocol.h"
+#include "platform/sources.h"
+
+namespace robinhoist::platform {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int own_sockets = 24;  // loop, signals, listener, watches, votes, the standard three, some in hand
+constexpr std::size_t most_body = 64 * 1024, most_head = 8 * 1024;  // the protocol's, and ours
+constexpr Span first_within = 2s, request_within = 2s, idle_for = 5s;
+constexpr Span restart_window = 600ms;  // new connections may still come for so long after SIGTERM
+constexpr Span figures_every = 5s;
+
+std::string late_p99(std::vector<std::int32_t> late) {
+  if (late.empty()) return "0";
+  auto at = late.begin() + static_cast<long>(0.99 * static_cast<double>(late.size() - 1));
+  std::nth_element(late.begin(), at, late.end());
+  return log::text(*at);
+}
+
+}  // namespace
+
+umpire::RouterSettings router_settings(const Config& config) {
+  umpire::RouterSettings to;
+  to.name = config.name;
+  to.salt = config.salt;
+  const auto sockets = static_cast<std::size_t>(config.limits.sockets - own_sockets);
+  const std::size_t clients = sockets * 45 / 100;
+  to.server.listen = config.listen;
+  to.server.limits = {.header = most_head, .body = most_body};
+  to.server.most_clients = clients;
+  to.server.make_room = true;
+  to.server.head_within = request_within;
+  to.server.first_within = first_within;
+  to.server.idle_for = idle_for;
+  to.server.stream_backlog = 2 * most_body;
+  to.node.most_connections = sockets - clients;
+  to.node.budget = std::make_shared<http::Budget>(sockets - clients);
+  to.node.connect_within = config.params.connect_within;
+  to.node.keep_for = config.params.keep_idle * 4 / 5;  // before the node closes it
+  to.node.limits = {.header = most_head, .body = most_body, .framed = true};
+  return to;
+}
+
+int run(const std::string& config_file) {
+  // One thread with small memory: one arena, and what is free goes back.
+  mallopt(M_ARENA_MAX, 1);
+  mallopt(M_TRIM_THRESHOLD, 512 * 1024);
+  mallopt(M_MMAP_THRESHOLD, 256 * 1024);
+  const Config config = of_file(config_file);
+  log::Log log(config.name, "info");
+  net::Loop loop(net::steady_now());
+  std::signal(SIGPIPE, SIG_IGN);
+  Discovery nodes(loop, config.discovery, config.known.version, config.salt + 1, log);
+  ReleaseApi releases(loop, config.release_api, config.news, config.params.gate.call_timeout, config.salt + 2,
+                      log);
+  const PlatformProtocol protocol(config.params);
+  umpire::Router router(loop, router_settings(config), config.params, protocol, log, nodes, releases);
+  releases.on_flagged([&](const std::string& node, Span) { router.found_wrong(node); });
+
+  bool stopping = false;
+  net::Signals signals(loop, {SIGTERM, SIGINT, SIGHUP}, [&](int which) {
+    if (which == SIGHUP) {
+      try {
+        const Config fresh = of_file(config_file);
+        nodes.move(fresh.discovery);
+        releases.move(fresh.release_api);
+        log.info("configuration read again",
+                 {{"discovery", fresh.discovery}, {"release_api", fresh.release_api}});
+      } catch (const json::BadInput& bad) {
+        log.warn("configuration not read again: all stays as it was", {{"why", bad.what()}});
+      }
+      return;
+    }
+    if (stopping) return;
+    stopping = true;
+    router.retire();
+    loop.in(restart_window, [&] { router.drain([&] { loop.quit(); }); });
+  });
+  router.start();
+  router.saved_list(config.known);
+  log.info("routes", {{"listen", config.listen},
+                      {"nodes_known", log::text(config.known.entries.size())},
+                      {"sockets", log::text(config.limits.sockets)},
+                      {"memory_mb", log::text(config.limits.memory_mb)},
+                      {"cores", log::text(config.limits.cores)}});
+  const auto figures = [&](const char* what) {
+    const umpire::Counters& c = router.counters();
+    log.info(what, {{"taken", log::text(c.taken)},
+                    {"not_taken", log::text(c.not_taken)},
+                    {"settled", log::text(c.settled)},
+                    {"late", log::text(c.late)},
+                    {"declined", log::text(c.declined)},
+                    {"voided", log::text(c.voided)},
+                    {"left", log::text(c.left)},
+                    {"submissions", log::text(c.submissions)},
+                    {"open", log::text(router.open_txns())},
+                    {"clients", log::text(router.clients())},
+                    {"wake_late_us_p99", late_p99(loop.lateness())}});
+  };
+  std::function<void()> tell = [&] {
+    figures("figures");
+    loop.in(figures_every, tell);
+  };
+  loop.in(figures_every, tell);
+  loop.run();
+  figures("ends");
+  return 0;
+}
+
+}  // namespace robinhoist::platform
--- /dev/null
+++ b/src/platform/protocol.cpp
@@ -0,0 +1,189 @@
+#include "platform/protocol.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <cstdio>
+
+#include "figures.h"
+
+namespace robinhoist::platform {
+namespace {
+
+constexpr std::string_view id_header = "Request-Id", time_header = "Request-Timeout",
+                           mark_header = "Idempotency-Key", repeat_header = "Client-Retry",
+                           info_header = "Request-Info", load_header = "Server-Load",
+                           not_run_header = "Not-Started";
+constexpr std::size_t longest_id = 256;
+
+// The header's value where it comes just once: of two nobody can tell which one the node goes by.
+std::optional<std::string_view> only(const http::Headers& headers, std::string_view name) {
+  std::optional<std::string_view> found;
+  for (auto& [key, value] : headers.all())
+    if (http::same_word(key, name)) {
+      if (found) return {};
+      found = value;
+    }
+  return found;
+}
+
+std::optional<double> number(std::string_view text) {
+  double value = 0;
+  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (text.empty() || error != std::errc{} || end != text.data() + text.size() || !std::isfinite(value))
+    return {};
+  return value;
+}
+
+// A number and its unit: 480m is 480 milliseconds, 480u microseconds.
+std::optional<double> time_ms(std::string_view text) {
+  if (text.size() < 2) return {};
+  const char unit = text.back();
+  const auto value = number(text.substr(0, text.size() - 1));
+  if (!value || (unit != 'm' && unit != 'u')) return {};
+  return unit == 'm' ? *value : *value / 1000;
+}
+
+// name=value,name=value; nothing if any of it can't be read.
+std::optional<std::vector<std::pair<std::string, double>>> figures_of(std::string_view text) {
+  std::vector<std::pair<std::string, double>> figures;
+  while (!text.empty()) {
+    const std::size_t end = std::min(text.find(','), text.size());
+    std::string_view pair = text.substr(0, end);
+    text.remove_prefix(std::min(end + 1, text.size()));
+    while (!pair.empty() && pair.front() == ' ') pair.remove_prefix(1);
+    const std::size_t equals = pair.find('=');
+    if (equals == std::string_view::npos || equals == 0) return {};
+    const auto value = number(pair.substr(equals + 1));
+    if (!value) return {};
+    figures.emplace_back(pair.substr(0, equals), *value);
+  }
+  return figures;
+}
+
+bool graphic(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < 127; });
+}
+
+}  // namespace
+
+std::optional<http::Response> PlatformProtocol::aside(const http::Request& request, bool routes) const {
+  if (request.path() != "/up") return {};
+  if (request.method != "GET") return http::text_answer(405, "ask by GET\n");
+  return routes ? http::text_answer(200, "routes\n") : http::text_answer(503, "knows no nodes yet\n");
+}
+
+umpire::Asked PlatformProtocol::read(http::Exchange& exchange, int number_of_txn, Span) const {
+  http::Request& request = exchange.request;
+  umpire::Asked asked;
+  auto refuse = [&](int status, const std::string& why) {
+    asked.refusal = umpire::Refusal{status, why};
+    return std::move(asked);
+  };
+  std::string_view path = request.path();
+  if (path.empty() || path.front() != '/') return refuse(400, "the target is no path");
+  path.remove_prefix(1);
+  const int p = params_.product(path.substr(0, path.find('/')));
+  if (p < 0) return refuse(404, "no product of that name");
+  const Product& product = params_.txns.products[p];
+  if (request.method != (product.effect == Effect::inquiry ? "GET" : "POST"))
+    return refuse(405, "the product does not go by that method");
+  if (request.method == "GET" && !request.body.empty()) return refuse(400, "a GET has no body");
+  const auto id = only(request.headers, id_header);
+  if (!id || id->empty() || id->size() > longest_id || !graphic(*id))
+    return refuse(400, "needs one Request-Id");
+  const auto time = only(request.headers, time_header);
+  const auto remaining = time ? time_ms(*time) : std::nullopt;
+  if (!remaining || !(*remaining > 0)) return refuse(400, "needs one Request-Timeout such as 480m");
+  const auto mark = only(request.headers, mark_header);
+  if (mark ? mark->empty() || !graphic(*mark) || mark->size() > longest_id
+           : product.effect == Effect::referenced || request.headers.has(mark_header))
+    return refuse(400, "needs one Idempotency-Key");
+  Arrival& txn = asked.txn;
+  txn.txn = number_of_txn;
+  txn.product = p;
+  if (request.headers.has(info_header))
+    if (const auto info = figures_of(request.headers.get(info_header)))
+      for (auto& [name, value] : *info) {
+        if (name == "work_hint_ms" && value > 0) txn.hint_ms = value;
+        if (name == "org" && value >= 0 && value < static_cast<double>(params_.tenants.size()))
+          txn.tenant = static_cast<int>(value);
+      }
+  txn.repeat = request.headers.get(repeat_header) == "1";
+  // One tick is kept back for the answer's way.
+  txn.expiry = exchange.at + from_millis(std::min(*remaining, millis(product.expiry))) - params_.txns.tick;
+  asked.id = *id;
+  asked.onward.method = request.method;
+  asked.onward.target = std::move(request.target);
+  http::copy_end_to_end(request.headers, asked.onward.headers);
+  asked.onward.body = std::move(request.body);
+  return asked;
+}
+
+void PlatformProtocol::submission(http::Request& onward, std::size_t, Span within) const {
+  onward.headers.set(time_header, std::to_string(std::max<long>(1, within.count())) + "u");
+}
+
+umpire::Classed PlatformProtocol::classed(http::Ended how, const http::Response& response) const {
+  umpire::Classed classed{Outcome::reset};
+  switch (how) {
+    case http::Ended::answered:
+      if (response.status == 200 && !response.body.empty()) classed.outcome = Outcome::ok;
+      else if ((response.status == 503 || response.status == 504) &&
+               response.headers.get(not_run_header) == "1")
+        classed.outcome = Outcome::full;
+      else classed.outcome = Outcome::error;
+      break;
+    case http::Ended::unreached:
+      classed.outcome = Outcome::no_connection;
+      break;
+    case http::Ended::withheld:
+      classed.outcome = Outcome::moot;
+      break;
+    case http::Ended::garbled:
+      classed.outcome = Outcome::error;
+      break;
+    case http::Ended::timed_out:
+      classed.outcome = Outcome::timeout;
+      break;
+    case http::Ended::broken:
+    case http::Ended::cancelled:
+      break;
+  }
+  if (params_.nodes.reports == Reports::none) return classed;
+  if (const auto load = figures_of(response.headers.get(load_header)))
+    for (auto& [name, value] : *load) params::put_load(classed.load, name, value);
+  return classed;
+}
+
+http::Response PlatformProtocol::not_taken(const umpire::Refusal& refusal) const {
+  http::Response response = http::text_answer(refusal.status, refusal.why + "\n");
+  response.keep_alive = false;
+  return response;
+}
+
+http::Response PlatformProtocol::settled(http::Response&& from, const std::string&, int) const {
+  http::Response passed;
+  http::Headers headers;
+  http::copy_end_to_end(from.headers, headers);
+  for (auto& [name, value] : headers.all())
+    if (!http::same_word(name, load_header)) passed.headers.add(name, value);
+  passed.body = std::move(from.body);
+  return passed;
+}
+
+http::Response PlatformProtocol::declined(Span pause, const std::string& why) const {
+  http::Response response = http::text_answer(503, "declined, it is safe to try again: " + why + "\n");
+  if (pause > Span{}) {
+    char text[32];
+    std::snprintf(text, sizeof text, "%.3f", seconds(pause));
+    response.headers.add("Retry-After", text);
+  }
+  return response;
+}
+
+http::Response PlatformProtocol::voided(bool late, const std::string& why) const {
+  return http::text_answer(late ? 504 : 502, "voided, it may have been carried out: " + why + "\n");
+}
+
+}  // namespace robinhoist::platform
--- /dev/null
+++ b/src/platform/sources.h
@@ -0,0 +1,93 @@
+// Where an umpire on the operators' platform hears of nodes (discovery) and of releases (the release API): a
+// watch each, one JSON object a line, taken up again where it broke; and its votes.
+#pragma once
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "http/caller.h"
+#include "http/stream_caller.h"
+#include "log/log.h"
+#include "platform/config.h"
+#include "retry/backoff.h"
+#include "umpire/sources.h"
+
+namespace robinhoist::platform {
+
+// One endless answer after the other, line by line. A line that makes no sense ends the connection it came
+// on; silence does too; then comes another, after a pause that grows with each failure.
+class Watch {
+ public:
+  struct Settings {
+    std::string what{};  // for the log
+    net::Span silent_most{};
+    unsigned salt = 1;
+  };
+  using Target = std::function<std::string()>;
+  using Line = std::function<void(const json::Json& object)>;  // throws json::BadInput
+  Watch(net::Loop& loop, const std::string& address, const Settings& settings, const log::Log& log);
+  ~Watch();
+  void start(Target target, Line line);
+  void again();  // at once
+  // From now on there; what was open to the old address is closed.
+  void move(const std::string& address);
+
+ private:
+  void ask();
+  void take(std::string& body);
+  void ended();
+  void broken(const std::string& why);
+
+  net::Loop& loop_;
+  std::string address_;
+  Settings settings_;
+  const log::Log& log_;
+  std::unique_ptr<http::StreamCaller> stream_{};
+  retry::Backoff backoff_;
+  Target target_{};
+  Line line_{};
+  net::Loop::Timer timer_ = net::Loop::no_timer;
+  bool failing_ = false;
+};
+
+class Discovery : public umpire::NodeSource {
+ public:
+  // From the version of a list that is known already.
+  Discovery(net::Loop& loop, const std::string& address, std::int64_t version, unsigned salt,
+            const log::Log& log);
+  void start(Heard heard) override;
+  void refresh() override;
+  void move(const std::string& address) { watch_.move(address); }
+
+ private:
+  std::int64_t version_;
+  Watch watch_;
+};
+
+class ReleaseApi : public umpire::ReleaseSource {
+ public:
+  using Flagged = std::function<void(const std::string& node, Span ago)>;
+  ReleaseApi(net::Loop& loop, const std::string& address, const RelNews& known, net::Span vote_within,
+             unsigned salt, const log::Log& log);
+  void start(Heard heard) override;
+  void vote(int build, int stage, Verdict verdict, Answered answered) override;
+  void patients(long, long) override {}  // this platform does not ask
+  void on_flagged(Flagged flagged) { flagged_ = std::move(flagged); }
+  void move(const std::string& address);
+
+ private:
+  void told(const RelNews& rel);
+
+  net::Loop& loop_;
+  net::Span vote_within_;
+  RelNews known_;
+  Span known_from_;  // when it came to stand so
+  std::unique_ptr<http::Caller> caller_;
+  std::vector<std::unique_ptr<http::Caller>> leaving_{};  // with votes out to an address given up
+  Watch watch_;
+  Heard heard_{};
+  Flagged flagged_{};
+};
+
+}  // namespace robinhoist::platform
--- a/src/umpire/process.cpp
+++ b/src/umpire/process.cpp
@@ -4,6 +4,7 @@
 
 #include "json/fields.h"
 #include "net/signals.h"
+#include "umpire/http_protocol.h"
 #include "umpire/router.h"
 
 namespace robinhoist::umpire {
@@ -20,7 +21,8 @@
                                .vote_within = settings.deployment.vote_timeout,
                                .salt = settings.salt + 1},
                               log);
-  Router router(loop, settings, log, nodes, releases);
+  const HttpProtocol protocol(settings);
+  Router router(loop, router_settings(settings), params_of(settings), protocol, log, nodes, releases);
   std::unique_ptr<http::Server> admin;
   if (!settings.admin.empty()) {
     http::ServerSettings server;
--- /dev/null
+++ b/src/umpire/protocol.h
@@ -0,0 +1,51 @@
+// The seam between the router and the protocol that its clients and nodes speak: how a client's request
+// becomes an arrival, how final answers are worded, how a submission is built, and what a node's answer
+// means. Nothing here decides about txns. HttpProtocol is the project's own; src/platform has another.
+#pragma once
+#include <optional>
+#include <string>
+
+#include "http/caller.h"
+#include "http/server.h"
+#include "state.h"
+
+namespace robinhoist::umpire {
+
+// A request that the module never hears of, and the status that says why.
+struct Refusal {
+  int status;
+  std::string why;
+};
+
+// A client's request as it was read.
+struct Asked {
+  Arrival txn{};
+  http::Request onward{};   // as it goes to nodes
+  std::string id{};         // the client's own; while a txn of that id is open, no other is taken
+  std::string_view mark{};  // of a referenced txn, for traces
+  std::optional<Refusal> refusal{};
+};
+
+// What a submission came to.
+struct Classed {
+  Outcome outcome;
+  Load load{};
+};
+
+class Protocol {
+ public:
+  virtual ~Protocol() = default;
+  // Questions about the umpire itself; none: it is a client's request.
+  virtual std::optional<http::Response> aside(const http::Request& request, bool routes) const = 0;
+  // `txn` is the number that the txn gets if it is taken.
+  virtual Asked read(http::Exchange& exchange, int txn, Span now) const = 0;
+  virtual void submission(http::Request& onward, std::size_t number, Span within) const = 0;
+  virtual Classed classed(http::Ended how, const http::Response& response) const = 0;
+
+  virtual http::Response not_taken(const Refusal& refusal) const = 0;
+  virtual http::Response settled(http::Response&& from, const std::string& node, int build) const = 0;
+  virtual http::Response declined(Span pause, const std::string& why) const = 0;
+  virtual http::Response voided(bool late, const std::string& why) const = 0;
+};
+
+}  // namespace robinhoist::umpire
--- a/src/umpire/router.cpp
+++ b/src/umpire/router.cpp
@@ -14,14 +14,9 @@
 
 using namespace std::chrono_literals;
 
-constexpr Span tick = 1ms;           // the clock's grain, as the module is told it
 constexpr Span patients_every = 1s;  // how txns did, told to the controller
 constexpr Span index_kept = 60s;     // a node's index is given to another this long after it has left
-
-double number(std::string_view text, double absent) {
-  if (text.empty()) return absent;
-  return settings::number_of(std::string(text)).value_or(std::nan(""));
-}
+constexpr Span list_awaited = 1s;    // from the start; then a saved list must do
 
 // Of a trace: as many digits as tell something.
 std::string figure(double value) {
@@ -30,41 +25,13 @@
   return text;
 }
 
-// Node's load from the header that proxies of the field use (Open Request Cost Aggregation, text form).
-Load load_of(std::string_view header) {
-  Load load;
-  if (header.substr(0, 5) != "TEXT ") return load;
-  header.remove_prefix(5);
-  while (!header.empty()) {
-    std::size_t end = std::min(header.find(','), header.size());
-    std::string_view pair = header.substr(0, end);
-    header.remove_prefix(std::min(end + 1, header.size()));
-    while (!pair.empty() && pair.front() == ' ') pair.remove_prefix(1);
-    std::size_t equals = pair.find('=');
-    if (equals == std::string_view::npos) continue;
-    auto value = settings::number_of(std::string(pair.substr(equals + 1)));
-    if (!value || *value < 0) continue;
-    std::string_view name = pair.substr(0, equals);
-    if (name == "cpu_utilization") load.busy = value;
-    else if (name == "named_metrics.held") load.held = value;
-    else if (name == "named_metrics.waiting") load.waiting = value;
-    else if (name == "rps_fractional") load.served_ps = value;
-    else if (name == "eps") load.failed_ps = value;
-  }
-  return load;
-}
-
 }  // namespace
 
-Router::Router(net::Loop& loop, const Settings& settings, const log::Log& log, NodeSource& nodes,
-               ReleaseSource& releases)
-    : loop_(loop), settings_(settings), log_(log), node_source_(nodes), release_source_(releases),
-      umpire_(settings.salt,
-              deployment::node_settings(
-                  settings.deployment, std::max(0, settings.deployment.zone(settings.zone)), settings.number),
-              deployment::exposure_settings(settings.deployment),
-              deployment::gate_settings(settings.deployment),
-              deployment::txn_settings(settings.deployment, tick)),
+Router::Router(net::Loop& loop, const RouterSettings& settings, const params::Params& params,
+               const Protocol& protocol, const log::Log& log, NodeSource& nodes, ReleaseSource& releases)
+    : loop_(loop), settings_(settings), params_(params), protocol_(protocol), log_(log), node_source_(nodes),
+      release_source_(releases),
+      umpire_(settings.salt, params.nodes, params.exposure, params.gate, params.txns),
       trail_(settings.trace, settings.salt), wall_start_(net::wall_now() - loop.now()) {}
 
 Router::~Router() {
@@ -101,10 +68,13 @@
     ++counters_.release_news;
     told_rel_ = rel;
     umpire_.release_news(rel, loop_.now());
+    // Guards against a lower cap overtaken by a submission that waits for its connection.
+    recall([&](const Peer& peer) { return peer.build >= rel.build; });
     pull();
   });
   server_ = std::make_unique<http::Server>(loop_, settings_.server,
                                            [this](const http::ExchangePtr& exchange) { take(exchange); });
+  started_at_ = loop_.now();
   tell_patients();
   pull();
 }
@@ -117,63 +87,42 @@
   return last_txn_;
 }
 
-void Router::not_taken(const http::ExchangePtr& exchange, int status, const std::string& why) {
+void Router::not_taken(const http::ExchangePtr& exchange, const Refusal& refusal) {
   ++counters_.not_taken;
-  http::Response response = http::text_answer(status, why + "\n");
-  response.headers.add("Robinhoist-Outcome", "not-taken");
-  exchange->answer(std::move(response));
+  exchange->answer(protocol_.not_taken(refusal));
+}
+
+// Whether there are nodes to route to, by a list that is not a saved one if that can be had soon.
+bool Router::routes() const {
+  return !listed_.empty() && !drained_ && (live_list_ || loop_.now() > started_at_ + list_awaited);
 }
 
 void Router::take(const http::ExchangePtr& exchange) {
-  const http::Request& request = exchange->request;
-  const deployment::Deployment& all = settings_.deployment;
-  const HeaderNames& names = settings_.headers;
-  if (drained_) return not_taken(exchange, 503, "this umpire is stopping");
-  const int p = all.product_of(request.method, request.path());
-  if (p < 0)
-    return not_taken(exchange, 404, "no product takes " + request.method + " " + std::string(request.path()));
-  const Product& product = all.products[p].product;
-  Arrival txn{};
-  txn.product = p;
-  if (!all.tenants.empty()) {
-    txn.tenant = all.tenant(request.headers.get(names.tenant));
-    if (txn.tenant < 0) return not_taken(exchange, 400, "header " + names.tenant + " names no known tenant");
-  }
-  std::string_view key = request.headers.get(names.key);
-  // Without its key no node could tell a repeat of it.
-  if (product.effect == Effect::referenced && key.empty())
-    return not_taken(exchange, 400, "product " + all.products[p].name + " needs the header " + names.key);
-  std::string_view routing = request.headers.get(names.routing_key);
-  txn.key = routing.empty() ? key : routing;
-  const double most_ms = millis(product.expiry);
-  const double remaining = number(request.headers.get(names.remaining), most_ms);
-  if (!(remaining > 0))
-    return not_taken(exchange, 400, "header " + names.remaining + " is not a number above 0");
-  txn.hint_ms = number(request.headers.get(names.cost), 0);
-  if (!(txn.hint_ms >= 0))
-    return not_taken(exchange, 400, "header " + names.cost + " is not a number from 0");
-  txn.repeat = request.headers.has(names.repeat);
+  if (auto aside = protocol_.aside(exchange->request, routes())) return exchange->answer(std::move(*aside));
+  if (drained_) return not_taken(exchange, {503, "this umpire is stopping"});
   const Span now = loop_.now();
-  txn.expiry = exchange->at + from_millis(std::min(remaining, most_ms)) - settings_.reserve;
-  txn.txn = next_txn();
-
-  Held held{.exchange = exchange, .request = {}, .expiry = txn.expiry, .product = p};
-  held.request.method = request.method;
-  held.request.target = request.target;
-  http::copy_end_to_end(request.headers, held.request.headers);
-  const std::string id = settings_.name + "." + std::to_string(txn.txn);
-  held.request.headers.set("Robinhoist-Txn", id);
+  Asked asked = protocol_.read(*exchange, next_txn(), now);
+  if (asked.refusal) return not_taken(exchange, *asked.refusal);
+  if (!asked.id.empty() && !open_ids_.try_emplace(asked.id, asked.txn.txn).second)
+    return not_taken(exchange, {400, "a txn of that id is open"});
+  const Arrival& txn = asked.txn;
+  Held held{.exchange = exchange,
+            .request = std::move(asked.onward),
+            .expiry = txn.expiry,
+            .product = txn.product,
+            .id = std::move(asked.id)};
   if (trail_.on()) {
+    const http::Request& request = held.request;
     const auto parent = trail::parent_of(request.headers.get("traceparent"));
-    held.trace = trail_.begin(id, parent, exchange->at);
+    held.trace = trail_.begin(settings_.name + "." + std::to_string(txn.txn), parent, exchange->at);
     if (held.trace) {
       held.request.headers.set("traceparent", trail::written({held.trace->trace, held.trace->span, true}));
       held.trace->note(now, "taken",
                        {{"method", request.method},
                         {"path", std::string(request.path())},
-                        {"product", all.products[p].name},
-                        {"tenant", txn.tenant < 0 || all.tenants.empty() ? "" : all.tenants[txn.tenant].name},
-                        {"key", std::string(key)},
+                        {"product", params_.products[txn.product]},
+                        {"tenant", params_.tenants.empty() ? "" : params_.tenants[txn.tenant]},
+                        {"key", std::string(asked.mark)},
                         {"parent", parent ? parent->span : ""},
                         {"expires_in_ms", figure(millis(txn.expiry - now))},
                         {"told_build", log::text(told_rel_.build)},
@@ -184,7 +133,6 @@
                         {"open", log::text(unanswered_)}});
     }
   }
-  held.request.body = std::move(exchange->request.body);
   exchange->on_gone = [this, id = txn.txn] { left(id); };
   txns_.emplace(txn.txn, std::move(held));
   ++unanswered_;
@@ -198,6 +146,7 @@
   if (at == txns_.end() || at->second.answered) return;
   at->second.answered = true;
   at->second.exchange.reset();
+  open_ids_.erase(at->second.id);
   --unanswered_;
   ++counters_.left;
   if (at->second.trace) {
@@ -239,23 +188,42 @@
 
 void Router::heard(const list::News& news, bool saved) {
   ++counters_.list_news;
+  live_list_ |= !saved;
   const Span now = loop_.now();
   if (news.whole) listed_.clear();
   std::vector<NodeNews> entries;
-  std::vector<bool> named(peers_.size(), false);
+  std::vector<bool> named(peers_.size(), false), changed(peers_.size(), false);
   for (const list::Entry& entry : news.entries) {
+    const auto was = listed_.find(entry.name);
+    // A name that comes back at another address is another peer; the old one is gone, though nobody says so.
+    if (was != listed_.end() && was->second.address != entry.address) {
+      const int old = peer_index(was->second);
+      if (old >= 0 && peers_[old].phase != NodePhase::out) {
+        peers_[old].phase = NodePhase::out;
+        NodeNews gone{};
+        gone.node = old;
+        gone.build = peers_[old].build;
+        gone.phase = NodePhase::out;
+        gone.size = 1;
+        entries.push_back(gone);
+      }
+    }
     if (entry.phase == NodePhase::out) listed_.erase(entry.name);
     else listed_[entry.name] = entry;
     int index = peer_index(entry);
     if (index < 0) continue;
-    if (index >= static_cast<int>(named.size())) named.resize(index + 1, false);
+    if (index >= static_cast<int>(named.size())) {
+      named.resize(index + 1, false);
+      changed.resize(index + 1, false);
+    }
     named[index] = true;
     Peer& peer = peers_[index];
+    changed[index] = peer.phase != entry.phase || peer.build != entry.build;
     peer.build = entry.build;
     peer.phase = entry.phase;
     NodeNews node{};
     node.node = index;
-    node.zone = std::max(0, settings_.deployment.zone(entry.zone));
+    node.zone = std::max(0, params_.zone(entry.zone));
     node.cell = entry.cell;
     node.build = entry.build;
     node.phase = entry.phase;
@@ -279,6 +247,11 @@
     umpire_.release_news(RelNews{lowest, 0, RelPhase::released, 1, Span{}}, now);
   }
   umpire_.list_news(saved ? ListNews::saved : news.whole ? ListNews::whole : ListNews::changes, entries, now);
+  // Guards against news overtaken by a submission that waits for its connection.
+  recall([&](const Peer& peer) {
+    const auto index = static_cast<std::size_t>(&peer - peers_.data());
+    return peer.phase != NodePhase::in || (index < changed.size() && changed[index]);
+  });
   if (keeper_ && !saved) {
     list::News all{news.series, news.version, true, {}};
     for (auto& [name, entry] : listed_) all.entries.push_back(entry);
@@ -302,25 +275,18 @@
       break;
     case Action::decline: {
       Held& held = txns_.at(decision.txn);
-      http::Response response = http::text_answer(503, "declined: it is safe to try again\n");
-      if (decision.span > Span{}) {
-        response.headers.add("Retry-After",
-                             std::to_string(static_cast<long>(std::ceil(seconds(decision.span)))));
-        response.headers.add("Robinhoist-Retry-After-Ms",
-                             std::to_string(static_cast<long>(millis(decision.span))));
-      }
       const char* why = held.submissions.empty() ? "no-room" : rollout::word(held.last);
       ++counters_.declined;
-      end_txn(held, std::move(response), "declined", why);
+      end_txn(held, protocol_.declined(decision.span, why), "declined", why, decision.span);
       forget(decision.txn);
       break;
     }
     case Action::give_up: {
       Held& held = txns_.at(decision.txn);
       const bool late = held.submissions.empty() || held.last == Outcome::timeout;
+      const char* why = held.submissions.empty() ? "expired" : rollout::word(held.last);
       ++counters_.voided;
-      end_txn(held, http::text_answer(late ? 504 : 502, "voided: it may or may not have been carried out\n"),
-              "voided", held.submissions.empty() ? "expired" : rollout::word(held.last));
+      end_txn(held, protocol_.voided(late, why), "voided", why, Span{});
       forget(decision.txn);
       break;
     }
@@ -334,7 +300,7 @@
                          {{"submission", log::text(decision.submission)}, {"node", peers_[out.node].name}});
       peers_[out.node].caller->cancel(out.call);
       loop_.in(Span(0), [this, txn = decision.txn, submission = decision.submission] {
-        ended(txn, submission, Outcome::cancelled, {});
+        ended(txn, submission, {Outcome::cancelled}, {});
       });
       break;
     }
@@ -377,39 +343,31 @@
   Peer& peer = peers_[decision.node];
   ++counters_.submissions;
   ++peer.out;
-  held.request.headers.set("Robinhoist-Submission", std::to_string(index));
   Span within = std::max(Span(1), held.expiry - loop_.now());
   if (decision.span > Span{}) within = std::min(within, decision.span);
+  protocol_.submission(held.request, index, within);
   if (held.trace) trace_submission(held, decision, within);
   auto done = [this, txn = decision.txn, index](http::Ended how, http::Response&& response) {
-    Outcome outcome = Outcome::reset;
-    switch (how) {
-      case http::Ended::answered:
-        outcome = response.status < 500 ? Outcome::ok
-                  : response.status == 503 && response.headers.has(settings_.headers.not_run)
-                      ? Outcome::full
-                      : Outcome::error;
-        break;
-      case http::Ended::unreached:
-        outcome = Outcome::no_connection;
-        break;
-      case http::Ended::garbled:
-        outcome = Outcome::error;
-        break;
-      case http::Ended::timed_out:
-        outcome = Outcome::timeout;
-        break;
-      case http::Ended::broken:
-      case http::Ended::cancelled:
-        break;
-    }
-    ended(txn, index, outcome, std::move(response));
+    ended(txn, index, protocol_.classed(how, response), std::move(response));
   };
   held.submissions.push_back(
       {decision.node, peer.caller->call(held.request, within, std::move(done)), false});
 }
 
-void Router::ended(int txn, std::size_t index, Outcome outcome, http::Response&& response) {
+// What has not been written yet goes back to the module: it was chosen by what no longer holds.
+void Router::recall(const std::function<bool(const Peer&)>& from) {
+  std::vector<std::pair<int, std::size_t>> recalled;
+  for (auto& [txn, held] : txns_)
+    for (std::size_t i = 0; i < held.submissions.size(); ++i) {
+      const Out& out = held.submissions[i];
+      if (!out.ended && from(peers_[out.node]) && peers_[out.node].caller->recall(out.call))
+        recalled.emplace_back(txn, i);
+    }
+  std::sort(recalled.begin(), recalled.end());
+  for (auto& [txn, index] : recalled) ended(txn, index, {Outcome::moot}, {});
+}
+
+void Router::ended(int txn, std::size_t index, const Classed& classed, http::Response&& response) {
   auto at = txns_.find(txn);
   if (at == txns_.end()) return;
   Held& held = at->second;
@@ -418,8 +376,8 @@
   out.ended = true;
   Peer& peer = peers_[out.node];
   --peer.out;
+  const Outcome outcome = classed.outcome;
   held.last = outcome;
-  const Load load = load_of(response.headers.get("endpoint-load-metrics"));
   const bool answers = outcome == Outcome::ok && !held.answered;
   if (held.trace)
     held.trace->note(loop_.now(), "ended",
@@ -430,36 +388,29 @@
                       {"status", log::text(response.status)},
                       {"used", answers ? "yes" : "no"}});
   // The module hears of it before the client does: what the client sends next must meet a module that knows.
-  umpire_.submission_ended(txn, static_cast<int>(index), outcome, held.answered || answers, load,
+  umpire_.submission_ended(txn, static_cast<int>(index), outcome, held.answered || answers, classed.load,
                            loop_.now());
   if (answers) {
-    http::Response passed;
-    passed.status = response.status;
-    http::copy_end_to_end(response.headers, passed.headers);
-    passed.headers.add("Robinhoist-Node", peer.name);
-    passed.headers.add("Robinhoist-Build", std::to_string(peer.build));
-    passed.body = std::move(response.body);
     ++counters_.settled;
-    counters_.late +=
-        loop_.now() - held.exchange->at > settings_.deployment.products[held.product].product.sla;
-    end_txn(held, std::move(passed), "settled", "answered");
+    counters_.late += loop_.now() - held.exchange->at > params_.txns.products[held.product].sla;
+    end_txn(held, protocol_.settled(std::move(response), peer.name, peer.build), "settled", "answered", {});
   }
   forget(txn);
   pull();
 }
 
-void Router::end_txn(Held& held, http::Response response, const char* outcome, const std::string& why) {
+void Router::end_txn(Held& held, http::Response response, const char* outcome, const std::string& why,
+                     Span pause) {
   if (held.answered) return;
   held.answered = true;
+  open_ids_.erase(held.id);
   --unanswered_;
-  response.headers.add("Robinhoist-Outcome", outcome);
-  response.headers.add("Robinhoist-Why", why);
   if (held.trace) {
     response.headers.add("Robinhoist-Trace", held.trace->trace);
     held.trace->note(loop_.now(), outcome,
                      {{"why", why},
                       {"status", log::text(response.status)},
-                      {"retry_after_ms", std::string(response.headers.get("Robinhoist-Retry-After-Ms"))},
+                      {"retry_after_ms", pause > Span{} ? log::text(pause.count() / 1000) : ""},
                       {"submissions", log::text(held.submissions.size())}});
     held.trace->outcome = outcome;
   }
@@ -485,6 +436,11 @@
   return false;
 }
 
+void Router::retire() {
+  server_->retire();
+  log_.info("retires", {{"open", log::text(unanswered_)}, {"clients", log::text(clients())}});
+}
+
 void Router::drain(std::function<void()> done) {
   drained_ = std::move(done);
   server_->drain();
--- a/src/umpire/router.h
+++ b/src/umpire/router.h
@@ -11,9 +11,10 @@
 #include "http/server.h"
 #include "log/log.h"
 #include "logic.h"
+#include "params/params.h"
 #include "saved/saved.h"
 #include "trail/trail.h"
-#include "umpire/settings.h"
+#include "umpire/protocol.h"
 #include "umpire/sources.h"
 
 namespace robinhoist::umpire {
@@ -23,18 +24,31 @@
        cancels = 0, votes = 0, late = 0, list_news = 0, release_news = 0, wrong_reports = 0;
 };
 
+// The host's own settings; what it is to tell the module lies in params::Params.
+struct RouterSettings {
+  std::string name{}, saved{};  // saved: the file of the list as last heard; empty: none
+  unsigned salt = 1;
+  http::ServerSettings server{};
+  http::CallerSettings node{};
+  trail::Settings trace{};
+};
+
 class Router {
  public:
-  Router(net::Loop& loop, const Settings& settings, const log::Log& log, NodeSource& nodes,
-         ReleaseSource& releases);
+  Router(net::Loop& loop, const RouterSettings& settings, const params::Params& params,
+         const Protocol& protocol, const log::Log& log, NodeSource& nodes, ReleaseSource& releases);
   ~Router();
   Router(const Router&) = delete;
   Router& operator=(const Router&) = delete;
 
   // Takes txns from now on.
   void start();
+  // Goes on taking txns, but asks each client to leave: new ones may still be on their way here.
+  void retire();
   // Takes no more; `done` runs when the last that it holds has had its answer.
   void drain(std::function<void()> done);
+  // A list that may be old, from before the start.
+  void saved_list(const list::News& news) { heard(news, true); }
   // A client says that an answer of that node was wrong. False: no such node.
   bool found_wrong(const std::string& node);
 
@@ -70,18 +84,21 @@
     std::vector<Out> submissions{};
     bool answered = false;
     Outcome last = Outcome::moot;
+    std::string id{};         // the client's own, empty where the protocol has none
     trail::TracePtr trace{};  // null: not traced
   };
 
   void take(const http::ExchangePtr& exchange);
-  void not_taken(const http::ExchangePtr& exchange, int status, const std::string& why);
+  void not_taken(const http::ExchangePtr& exchange, const Refusal& refusal);
+  bool routes() const;
   void heard(const list::News& news, bool saved);
   int peer_index(const list::Entry& entry);
   void pull();
   void carry_out(const Decision& decision);
   void submit(const Decision& decision);
-  void ended(int txn, std::size_t submission, Outcome outcome, http::Response&& response);
-  void end_txn(Held& held, http::Response response, const char* outcome, const std::string& why);
+  void recall(const std::function<bool(const Peer&)>& from);
+  void ended(int txn, std::size_t submission, const Classed& classed, http::Response&& response);
+  void end_txn(Held& held, http::Response response, const char* outcome, const std::string& why, Span pause);
   void forget(int txn);
   void left(int txn);
   void check_drained();
@@ -91,7 +108,9 @@
   int next_txn();
 
   net::Loop& loop_;
-  Settings settings_;
+  RouterSettings settings_;
+  params::Params params_;
+  const Protocol& protocol_;
   const log::Log& log_;
   NodeSource& node_source_;
   ReleaseSource& release_source_;
@@ -104,12 +123,13 @@
   std::unordered_map<std::string, int> peer_of_{};
   std::map<std::string, list::Entry> listed_{};  // as last heard, for the saved file
   std::unordered_map<int, Held> txns_{};
+  std::unordered_map<std::string, int> open_ids_{};
   std::size_t unanswered_ = 0;
   int last_txn_ = 0;
-  Span wall_start_;
+  Span wall_start_, started_at_{};
   net::Loop::Timer wake_ = net::Loop::no_timer, tell_ = net::Loop::no_timer;
   long told_txns_ = 0, told_poorly_ = 0;
-  bool pulling_ = false;
+  bool pulling_ = false, live_list_ = false;
   std::function<void()> drained_{};
   std::string mode_{};
   Counters counters_{};
--- a/src/umpire/settings.cpp
+++ b/src/umpire/settings.cpp
@@ -2,13 +2,18 @@
 
 #include <Poco/Net/SocketAddress.h>
 
+#include <algorithm>
 #include <fstream>
 
+#include "umpire/router.h"
+
 namespace robinhoist::umpire {
 namespace {
 
 using namespace std::chrono_literals;
 
+constexpr Span tick = 1ms;  // the clock's grain, as the module is told it
+
 std::string address(settings::Form& form, const char* key, std::optional<std::string> absent = {}) {
   std::string text = form.text(key, absent);
   const std::size_t colon = text.rfind(':');
@@ -80,6 +85,30 @@
   return to;
 }
 
+RouterSettings router_settings(const Settings& settings) {
+  return {.name = settings.name,
+          .saved = settings.saved,
+          .salt = settings.salt,
+          .server = settings.server,
+          .node = settings.node,
+          .trace = settings.trace};
+}
+
+params::Params params_of(const Settings& settings) {
+  const deployment::Deployment& all = settings.deployment;
+  params::Params to;
+  to.nodes = deployment::node_settings(all, std::max(0, all.zone(settings.zone)), settings.number);
+  to.exposure = deployment::exposure_settings(all);
+  to.gate = deployment::gate_settings(all);
+  to.txns = deployment::txn_settings(all, tick);
+  for (auto& product : all.products) to.products.push_back(product.name);
+  for (auto& tenant : all.tenants) to.tenants.push_back(tenant.name);
+  to.zones = all.zones;
+  to.connect_within = settings.node.connect_within;
+  to.keep_idle = settings.node.keep_for;
+  return to;
+}
+
 Settings read(const std::string& file) { return read(settings::Form::of_file(file)); }
 
 }  // namespace robinhoist::umpire
--- a/src/umpire/settings.h
+++ b/src/umpire/settings.h
@@ -5,6 +5,7 @@
 #include "deployment/deployment.h"
 #include "http/caller.h"
 #include "http/server.h"
+#include "params/params.h"
 #include "trail/trail.h"
 
 namespace robinhoist::umpire {
@@ -27,6 +28,11 @@
   deployment::Deployment deployment{};
 };
 
+// What of them the router is to know, and the module.
+struct RouterSettings;
+RouterSettings router_settings(const Settings& settings);
+params::Params params_of(const Settings& settings);
+
 // (umpire ...) with (deployment ...) beside it, in the same file. Throws settings::Invalid.
 Settings read(const std::string& file);
 Settings read(settings::Form root);
--- a/tests/umpire_test.cpp
+++ b/tests/umpire_test.cpp
@@ -4,6 +4,7 @@
 #include <thread>
 
 #include "plays.h"
+#include "umpire/http_protocol.h"
 #include "umpire/router.h"
 
 namespace robinhoist {
@@ -126,6 +127,7 @@
   log::Log log{"test", "err"};
   FakeNodes nodes{};
   FakeReleases releases{};
+  std::unique_ptr<umpire::Protocol> protocol{};
   std::unique_ptr<umpire::Router> router{};
   std::map<std::string, std::unique_ptr<ScriptNode>> scripted{};
   std::map<std::string, RawClient> clients{};
@@ -146,7 +148,9 @@
   void begin() {
     if (router) return;
     auto settings = umpire::read(settings::Form::of_text(settings_text, "settings"));
-    router = std::make_unique<umpire::Router>(loop, settings, log, nodes, releases);
+    protocol = std::make_unique<umpire::HttpProtocol>(settings);
+    router = std::make_unique<umpire::Router>(loop, umpire::router_settings(settings),
+                                              umpire::params_of(settings), *protocol, log, nodes, releases);
     router->start();
     releases.heard({1, 0, RelPhase::released, 1, Span{}});
   }
