--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -215,7 +215,9 @@
   Error error;
   feed(*parser, in, error);
   if (error == beast::error::need_more) {
-    if (parser->is_header_done() || in.size() <= limits_.header) return Read::more;
+    // What the parser leaves is one line without its end, of the head or before a chunk: guards against one
+    // that never ends.
+    if (in.size() <= limits_.header) return Read::more;
     error = beast::error::header_limit;
   }
   if (error) {
@@ -284,7 +286,7 @@
     feed(parser, in, error);
     if (error == beast::error::need_more) {
       error = {};
-      if (!parser.is_header_done() && in.size() > limits_.header) error = beast::error::header_limit;
+      if (in.size() > limits_.header) error = beast::error::header_limit;
     }
   }
   if (!error && ended && !parser.is_done()) parser.put_eof(error);
@@ -322,7 +324,7 @@
   beast::response_parser<beast::string_body> of{};
 };
 
-StreamReader::StreamReader(Limits limits) : parser_(std::make_unique<Parser>()) {
+StreamReader::StreamReader(Limits limits) : parser_(std::make_unique<Parser>()), header_(limits.header) {
   parser_->of.header_limit(static_cast<std::uint32_t>(limits.header));
   parser_->of.body_limit(boost::none);
   parser_->of.eager(true);
@@ -337,6 +339,7 @@
   Error error;
   if (!in.empty()) feed(parser_->of, in, error);
   if (error && error != beast::error::need_more) return Read::bad;
+  if (in.size() > header_) return Read::bad;  // one line without its end
   if (parser_->of.is_header_done()) {
     body_ += parser_->of.get().body();
     parser_->of.get().body().clear();
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -119,6 +119,7 @@
  private:
   struct Parser;
   std::unique_ptr<Parser> parser_;
+  std::size_t header_;
   std::string body_{};
 };
 
--- a/src/http/stream_caller.cpp
+++ b/src/http/stream_caller.cpp
@@ -44,9 +44,9 @@
   if (reader_->status() == 200) {
     piece_(reader_->body());
     if (stream_ != keep) return;  // stopped or begun anew by whoever took the piece
-    // What is neither taken nor ever ends is no stream of events.
-    if (reader_->body().size() > limits_.body) return end();
   }
+  // What is neither taken nor ever ends is no stream of events.
+  if (reader_->body().size() > limits_.body) return end();
   if (read == Read::whole) end();
 }
 
--- a/tests/umpire_test.cpp
+++ b/tests/umpire_test.cpp
@@ -50,7 +50,9 @@
       else if (what == "chunked")
         stream->write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n");
       else if (what == "interim") stream->write("HTTP/1.1 103 Early\r\n\r\n"), answer(200);
-      else if (what == "huge") {
+      else if (what == "endless-chunk") {
+        stream->write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + std::string(1 << 20, '5'));
+      } else if (what == "huge") {
         stream->write("HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n");
       } else if (what.rfind("late-", 0) == 0) {
         node.loop.in(ms(what.substr(5)), [this] { answer(200); });
