An answer that claims 3 GB is refused at its head; no umpire is killed for memory

Seen: an umpire at 60 to 70 of 48 MB. A look into its memory showed one mapping of 3,000,000,000 bytes that begins with an answer's body. Cause: Beast 1.74, fed head and body in one eager go, sets the body limit's error, then reads on and reserves all that was claimed (src/http/message.cpp feed). Now the two are fed apart and the claim is checked in between, for requests and watches too.

--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -14,12 +14,18 @@
 
 std::string_view view(boost::beast::string_view text) { return {text.data(), text.size()}; }
 
-// Feeds a parser with the front of a buffer.
+// Feeds a parser with the front of a buffer, head and body apart: going on eagerly from one to the other, it
+// forgets that the body is over the limit, makes room for all that was claimed, and reads on.
 template <class P>
-void feed(P& parser, std::string& in, Error& error) {
+void feed(P& parser, std::string& in, std::size_t most, Error& error) {
   std::size_t at = 0;
   do {
     error = {};
+    if (parser.is_header_done()) {
+      if (parser.content_length().value_or(0) > most) error = beast::error::body_limit;
+      if (error) break;
+      parser.eager(true);
+    }
     std::size_t used = parser.put(boost::asio::buffer(in.data() + at, in.size() - at), error);
     at += used;
     if (error || used == 0) break;
@@ -207,13 +213,12 @@
     parser.emplace();
     parser->header_limit(static_cast<std::uint32_t>(limits_.header));
     parser->body_limit(limits_.body);
-    parser->eager(true);
     parser_->begun = true;
     parser_->told_to_go_on = false;
   }
   if (in.empty()) return Read::more;
   Error error;
-  feed(*parser, in, error);
+  feed(*parser, in, limits_.body, error);
   if (error == beast::error::need_more) {
     // What the parser leaves is one line without its end, of the head or before a chunk: guards against one
     // that never ends.
@@ -273,7 +278,6 @@
   parser_->of.emplace();
   parser_->of->header_limit(static_cast<std::uint32_t>(limits_.header));
   parser_->of->body_limit(limits_.body);
-  parser_->of->eager(true);
   if (head_only) parser_->of->skip(true);
 }
 
@@ -283,7 +287,7 @@
   Error error;
   if (!in.empty()) {
     begun_ = true;
-    feed(parser, in, error);
+    feed(parser, in, limits_.body, error);
     if (error == beast::error::need_more) {
       error = {};
       if (in.size() > limits_.header) error = beast::error::header_limit;
@@ -324,10 +328,9 @@
   beast::response_parser<beast::string_body> of{};
 };
 
-StreamReader::StreamReader(Limits limits) : parser_(std::make_unique<Parser>()), header_(limits.header) {
+StreamReader::StreamReader(Limits limits) : limits_(limits), parser_(std::make_unique<Parser>()) {
   parser_->of.header_limit(static_cast<std::uint32_t>(limits.header));
   parser_->of.body_limit(boost::none);
-  parser_->of.eager(true);
 }
 StreamReader::~StreamReader() = default;
 
@@ -337,9 +340,9 @@
 
 Read StreamReader::read(std::string& in) {
   Error error;
-  if (!in.empty()) feed(parser_->of, in, error);
+  if (!in.empty()) feed(parser_->of, in, limits_.body, error);
   if (error && error != beast::error::need_more) return Read::bad;
-  if (in.size() > header_) return Read::bad;  // one line without its end
+  if (in.size() > limits_.header) return Read::bad;  // one line without its end
   if (parser_->of.is_header_done()) {
     body_ += parser_->of.get().body();
     parser_->of.get().body().clear();
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -118,8 +118,8 @@
 
  private:
   struct Parser;
+  Limits limits_;
   std::unique_ptr<Parser> parser_;
-  std::size_t header_;
   std::string body_{};
 };
 
--- a/tests/umpire_test.cpp
+++ b/tests/umpire_test.cpp
@@ -50,6 +50,10 @@
       else if (what == "chunked")
         stream->write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n");
       else if (what == "interim") stream->write("HTTP/1.1 103 Early\r\n\r\n"), answer(200);
+      else if (what == "huge-and-some")
+        stream->write("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + std::string(1000, '5'));
+      else if (what == "huge-number")
+        stream->write("HTTP/1.1 200 OK\r\nContent-Length: 9223372036854775000\r\n\r\nhi");
       else if (what == "endless-chunk") {
         stream->write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + std::string(1 << 20, '5'));
       } else if (what == "huge") {
