--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,245 @@
+// Plays tests/platform/*.txt against the router with the platform's protocol; its configuration, discovery and
+// release API against servers of the tests' own; and the process by its signals.
+#include <sys/wait.h>
+
+#include <csignal>
+
+#include "platform/process.h"
+#include "platform/protocol.h"
+#include "platform/sources.h"
+#include "stage.h"
+
+namespace robinhoist {
+namespace {
+
+using namespace std::chrono_literals;
+using net::Span;
+
+std::string config_text() {
+  std::ifstream in(TESTS "/platform/config.json");
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+
+std::string with(std::string text, const std::string& from, const std::string& to) {
+  const std::size_t at = text.find(from);
+  if (at == std::string::npos) throw std::runtime_error("not in the configuration: " + from);
+  return text.replace(at, from.size(), to);
+}
+
+class PlatformPlay : public testing::TestWithParam<std::string> {};
+
+TEST_P(PlatformPlay, goes_as_written) {
+  const platform::Config config = platform::decoded(config_text());
+  const platform::PlatformProtocol protocol(config.params);
+  tests::Stage stage([&](tests::Stage& on) {
+    return std::make_unique<umpire::Router>(on.loop, platform::router_settings(config), config.params,
+                                            protocol, on.log, on.nodes, on.releases);
+  });
+  tests::play_on(stage, GetParam());
+}
+
+INSTANTIATE_TEST_SUITE_P(All, PlatformPlay, testing::ValuesIn(tests::files_in(TESTS "/platform", ".txt")),
+                         tests::stem);
+
+TEST(Config, says_which_field_is_wrong) {
+  const std::pair<std::pair<const char*, const char*>, const char*> cases[] = {
+      {{"\"seed\": \"8c1f30d27a5be964\"", "\"seed\": \"xyz\""}, "field seed holds 'xyz'"},
+      {{"\"discovery\": \"127.0.0.1:1\"", "\"discovery\": \"nowhere\""}, "field discovery holds 'nowhere'"},
+      {{"\"sockets\": 256", "\"sockets\": \"many\""}, "limits: field sockets is not a number"},
+      {{"\"State\": \"COMPLETE\"", "\"State\": \"DONE\""}, "release_api: field State holds the unknown word"},
+      {{"\"members\": []", "\"members\": 3"}, "known: field members is not an array"},
+      {{"\"tick_ms\": 1.0,", ""}, "settings: missing field tick_ms"},
+      {{"\"name\": \"n0\",", ""}, "missing field name"},
+      {{"\"balancers\": 1,", "\"balancers\": 1"}, "at byte"}};
+  for (auto& [change, told] : cases) try {
+      platform::decoded(with(config_text(), change.first, change.second));
+      ADD_FAILURE() << "taken: " << told;
+    } catch (const json::BadInput& bad) {
+      EXPECT_NE(std::string(bad.what()).find(told), std::string::npos) << bad.what();
+    }
+}
+
+TEST(Config, descriptors_are_kept_for_nodes_and_platform) {
+  const platform::Config config = platform::decoded(config_text());
+  const umpire::RouterSettings settings = platform::router_settings(config);
+  EXPECT_GE(settings.server.most_clients, 256u / 3);
+  EXPECT_GT(settings.node.most_connections, settings.server.most_clients);
+  EXPECT_LT(settings.server.most_clients + settings.node.most_connections, 240u);
+  EXPECT_LT(settings.node.keep_for, config.params.keep_idle);
+}
+
+// A server of the platform's that says what the test wants, and remembers what it was asked.
+struct Desk {
+  net::Loop& loop;
+  std::vector<std::string> asked{}, bodies{};
+  std::vector<http::ExchangePtr> open{};
+  std::function<void(const http::ExchangePtr&)> act{};
+  http::Server server;
+  explicit Desk(net::Loop& on, std::function<void(const http::ExchangePtr&)> how)
+      : loop(on), act(std::move(how)), server(on, http::ServerSettings{}, [this](const http::ExchangePtr& e) {
+          asked.push_back(e->request.target);
+          bodies.push_back(e->request.body);
+          open.push_back(e);
+          act(e);
+        }) {}
+  std::string at() const { return "127.0.0.1:" + std::to_string(server.port()); }
+};
+
+const std::string member = R"({"id":"s1","host_port":"127.0.0.1:9","locality":"here","flavor":"m","cell":1,)"
+                           R"("phase":"ready","size":1.0,"up_since_ms":0,"build":1})";
+std::string listed(int revision, bool whole) {
+  return "{\"revision\":" + std::to_string(revision) + ",\"complete\":" + (whole ? "true" : "false") +
+         ",\"members\":[" + member + "]}\n";
+}
+std::string rollout(int build, int wave, const char* state) {
+  return "{\"Revision\":" + std::to_string(build) + ",\"Wave\":" + std::to_string(wave) + ",\"State\":\"" + state +
+         "\",\"MaxShare\":0.5,\"AgeMs\":0}";
+}
+
+// What is cut in mid-line or makes no sense is not believed, and the watch goes on from what is held; moved, it
+// goes on there.
+TEST(Discovery, goes_on_from_its_version_through_cuts_noise_and_moves) {
+  net::Loop loop(net::steady_now());
+  log::Log log("test", "off");
+  int turn = 0;
+  Desk first(loop, [&](const http::ExchangePtr& e) {
+    e->begin_stream({});
+    ++turn;
+    if (turn == 1) e->write(listed(8, true) + "\n" + listed(9, false).substr(0, 30)), e->hang_up();
+    else if (turn == 2) e->write(listed(9, false) + "what is this\n" + listed(10, false));
+    else e->write("\n");
+  });
+  Desk second(loop, [&](const http::ExchangePtr& e) {
+    e->begin_stream({});
+    e->write(listed(12, false));
+  });
+  platform::Discovery discovery(loop, first.at(), 7, 1, log);
+  std::vector<std::int64_t> versions;
+  discovery.start([&](const list::News& news) { versions.push_back(news.version); });
+  loop.in(600ms, [&] { discovery.move(second.at()); });
+  loop.in(800ms, [&] { loop.stop(); });
+  loop.run();
+  EXPECT_EQ(versions, (std::vector<std::int64_t>{8, 9, 12}));
+  ASSERT_GE(first.asked.size(), 3u);
+  EXPECT_EQ(first.asked[0], "/discovery/hosts?watch=1&from=7");
+  EXPECT_EQ(first.asked[1], "/discovery/hosts?watch=1&from=8");
+  EXPECT_EQ(first.asked[2], "/discovery/hosts?watch=1&from=9");
+  EXPECT_EQ(second.asked.at(0), "/discovery/hosts?watch=1&from=9");
+}
+
+TEST(ReleaseApi, each_vote_gets_one_answer_that_says_whether_it_may_count) {
+  const std::pair<std::string, Outcome> answers[] = {
+      {"200 " + rollout(2, 1, "IN_PROGRESS"), Outcome::ok},
+      {"200 {\"Revision\":2,", Outcome::timeout},
+      {"200 {\"words\":\"other\"}", Outcome::timeout},
+      {"409 {\"error\":\"conflict\"}", Outcome::moot},
+      {"429 {\"error\":\"throttled\"}", Outcome::full},
+      {"500 {\"error\":\"internal\"}", Outcome::error},
+      {"break", Outcome::timeout},
+      {"silence", Outcome::timeout}};
+  for (auto& [answer, outcome] : answers) {
+    net::Loop loop(net::steady_now());
+    log::Log log("test", "off");
+    Desk desk(loop, [&, answer = answer](const http::ExchangePtr& e) {
+      if (e->request.target == "/v1/watch") return e->begin_stream({});
+      if (answer == "break") return e->hang_up();
+      if (answer != "silence") e->answer(http::json_answer(std::stoi(answer), answer.substr(4)));
+    });
+    platform::ReleaseApi api(loop, desk.at(), RelNews{2, 0, RelPhase::trial, 0.1, 1s}, 100ms, 1, log);
+    std::vector<int> stages;
+    api.start([&](const RelNews& rel) { stages.push_back(rel.stage); });
+    std::vector<Outcome> outcomes;
+    api.vote(2, 0, Verdict::back, [&](Outcome how) { outcomes.push_back(how); });
+    // The address moves while the vote is out: its answer still comes.
+    api.move("127.0.0.1:1");
+    loop.in(200ms, [&] { loop.stop(); });
+    loop.run();
+    EXPECT_EQ(outcomes, std::vector<Outcome>{outcome}) << answer;
+    EXPECT_EQ(stages.size(), outcome == Outcome::ok ? 2u : 1u) << answer;
+    EXPECT_EQ(desk.bodies.back(), R"({"Revision":2,"Wave":0,"Decision":"stop"})");
+  }
+}
+
+TEST(ReleaseApi, what_stood_earlier_is_no_news_and_disputes_are_told) {
+  net::Loop loop(net::steady_now());
+  log::Log log("test", "off");
+  Desk desk(loop, [&](const http::ExchangePtr& e) {
+    e->begin_stream({});
+    std::string older = rollout(2, 0, "IN_PROGRESS");
+    older.replace(older.find("\"AgeMs\":0"), 9, "\"AgeMs\":5000");
+    e->write("{\"type\":\"ROLLOUT\",\"object\":" + rollout(2, 1, "IN_PROGRESS") + "}\n{}\n" +
+             "{\"type\":\"ROLLOUT\",\"object\":" + older + "}\n" +
+             R"({"type":"DISPUTE","object":{"InstanceId":"s1","Lane":"look","AgeMs":1200}})" + "\n");
+  });
+  platform::ReleaseApi api(loop, desk.at(), RelNews{1, 0, RelPhase::released, 1, 1s}, 100ms, 1, log);
+  std::vector<int> builds;
+  std::vector<std::string> flagged;
+  api.on_flagged([&](const std::string& node, Span) { flagged.push_back(node); });
+  api.start([&](const RelNews& rel) { builds.push_back(rel.build * 10 + rel.stage); });
+  loop.in(100ms, [&] { loop.stop(); });
+  loop.run();
+  EXPECT_EQ(builds, (std::vector<int>{10, 21}));
+  EXPECT_EQ(flagged, std::vector<std::string>{"s1"});
+}
+
+// The program itself: reloads in a row, one of them of a file that can't be read; SIGTERM twice with a txn open.
+TEST(Process, reloads_and_ends_without_losing_a_txn) {
+  net::Loop loop(net::steady_now());
+  std::vector<http::ExchangePtr> held;
+  Desk node(loop, [&](const http::ExchangePtr& e) {
+    loop.in(300ms, [e] { e->answer(http::text_answer(200, "done")); });
+  });
+  Desk desk(loop, [&](const http::ExchangePtr& e) {
+    e->begin_stream({});
+    std::string list = listed(8, true);
+    if (e->request.target != "/v1/watch")
+      e->write(with(list, "127.0.0.1:9", "127.0.0.1:" + std::to_string(node.server.port())));
+  });
+  Desk moved(loop, [&](const http::ExchangePtr& e) { e->begin_stream({}); });
+  int port = 0;
+  { port = net::Listener(loop, "127.0.0.1:0", [](int) {}).port(); }
+  const std::string file = testing::TempDir() + "platform-" + std::to_string(::getpid()) + ".json";
+  const auto write = [&](const std::string& text) { std::ofstream(file) << text; };
+  const auto config = [&](const std::string& at) {
+    std::string text = with(config_text(), "127.0.0.1:0", "127.0.0.1:" + std::to_string(port));
+    return with(with(text, "127.0.0.1:1", at), "127.0.0.1:1", at);
+  };
+  write(config(desk.at()));
+  const pid_t umpire = ::fork();
+  if (umpire == 0) {
+    ::setenv("ROUTER_CONFIG", file.c_str(), 1);
+    ::execl(PROGRAM, PROGRAM, "platform", static_cast<char*>(nullptr));
+    ::_exit(127);
+  }
+  tests::RawClient client;
+  loop.in(600ms, [&] {
+    client.stream = net::Stream::connect(loop, Poco::Net::SocketAddress("127.0.0.1:" + std::to_string(port)), client);
+    client.stream->write("POST /pay HTTP/1.1\r\nHost: x\r\nRequest-Id: r1\r\nRequest-Timeout: 400m\r\n"
+                         "Content-Length: 0\r\n\r\n");
+  });
+  loop.in(700ms, [&] {
+    write(config(moved.at()));
+    ::kill(umpire, SIGHUP);
+  });
+  loop.in(720ms, [&] {
+    write("{\"name\":");
+    ::kill(umpire, SIGHUP);
+  });
+  loop.in(740ms, [&] { ::kill(umpire, SIGTERM); });
+  loop.in(760ms, [&] { ::kill(umpire, SIGTERM); });
+  loop.in(2500ms, [&] { loop.stop(); });
+  loop.run();
+  int status = 0;
+  const pid_t ended = ::waitpid(umpire, &status, WNOHANG);
+  if (ended != umpire) ::kill(umpire, SIGKILL), ::waitpid(umpire, &status, 0);
+  EXPECT_EQ(ended, umpire);
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0) << status;
+  EXPECT_EQ(client.got.substr(0, 12), "HTTP/1.1 200") << client.got;
+  EXPECT_NE(client.got.find("Connection: close"), std::string::npos);
+  EXPECT_EQ(node.asked.size(), 1u);
+  EXPECT_EQ(moved.asked.size(), 2u);  // both watches, once
+  std::remove(file.c_str());
+}
+
+}  // namespace
+}  // namespace robinhoist
