--- a/src/http/caller.cpp
+++ b/src/http/caller.cpp
@@ -106,7 +106,7 @@
   void send() {
     written_ = true;
     stream_->write(out_);
-    out_.clear();
+    std::string().swap(out_);
   }
 
   void finished() {
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -45,14 +45,15 @@
   }
   void on_closed(net::Stream&, net::Closed) override { leave(); }
 
-  void answer(const Response& response) {
+  void answer(Response response) {
     if (!server_) return;
-    out_.clear();
-    Response sent = response;
-    sent.keep_alive = sent.keep_alive && keep_alive_ && !server_->leaving();
-    put(out_, sent, head_only_);
-    stream_->write(out_);
-    after(sent.keep_alive);
+    response.keep_alive = response.keep_alive && keep_alive_ && !server_->leaving();
+    std::string out;  // not kept: answers may be large, and clients many
+    put(out, response, head_only_);
+    const bool keep = response.keep_alive;
+    response = {};
+    stream_->write(out);
+    after(keep);
   }
 
   void begin_stream(const Response& head) {
@@ -124,7 +125,7 @@
     head_only_ = false;
     Response response = text_answer(status, why + "\n");
     response.keep_alive = false;
-    answer(response);
+    answer(std::move(response));
   }
 
   void next() {
@@ -185,7 +186,7 @@
 void Exchange::answer(Response response) {
   if (answered_) return;
   answered_ = true;
-  if (auto client = client_.lock()) client->answer(response);
+  if (auto client = client_.lock()) client->answer(std::move(response));
 }
 
 void Exchange::hang_up() {
--- a/src/platform/process.cpp
+++ b/src/platform/process.cpp
@@ -15,7 +15,10 @@
 using namespace std::chrono_literals;
 
 constexpr int own_sockets = 24;  // loop, signals, listener, watches, votes, the standard three, some in hand
-constexpr std::size_t most_body = 64 * 1024, most_head = 8 * 1024;  // the protocol's, and ours
+constexpr std::size_t most_body = 64 * 1024, most_head = 8 * 1024;  // of requests: the protocol's, and ours
+// Nodes' answers are larger than the protocol says (400 KB were seen), so they are bounded by the memory:
+// this many at once, each with its copies on the way through.
+constexpr double answers_held = 96;
 constexpr Span first_within = 2s, request_within = 2s, idle_for = 5s;
 constexpr Span restart_window = 600ms;  // new connections may still come for so long after SIGTERM
 constexpr Span figures_every = 5s;
@@ -42,12 +45,14 @@
   to.server.head_within = request_within;
   to.server.first_within = first_within;
   to.server.idle_for = idle_for;
-  to.server.stream_backlog = 2 * most_body;
+  const std::size_t answer = std::max<std::size_t>(
+      most_body, static_cast<std::size_t>(config.limits.memory_mb * 1024 * 1024 / answers_held));
+  to.server.stream_backlog = answer;
   to.node.most_connections = sockets - clients;
   to.node.budget = std::make_shared<http::Budget>(sockets - clients);
   to.node.connect_within = config.params.connect_within;
   to.node.keep_for = config.params.keep_idle * 4 / 5;  // before the node closes it
-  to.node.limits = {.header = most_head, .body = most_body, .framed = true};
+  to.node.limits = {.header = most_head, .body = answer, .framed = true};
   return to;
 }
 
