--- a/src/figures.h
+++ b/src/figures.h
@@ -31,6 +31,16 @@
   return std::max(0.0, 1 - below);
 }
 
+// Chance that `both` or more of `some` are among the `marked` when these are picked blindly from `all`.
+inline double picked(int all, int some, int marked, int both) {
+  auto ways = [](int n, int k) { return std::lgamma(n + 1) - std::lgamma(k + 1) - std::lgamma(n - k + 1); };
+  double sum = 0;
+  for (int i = both; i <= std::min(some, marked); ++i)
+    if (marked - i <= all - some)
+      sum += std::exp(ways(some, i) + ways(all - some, marked - i) - ways(all, marked));
+  return std::min(1.0, sum);
+}
+
 // The value below which this part of the values lies; reorders them.
 inline double quantile(std::vector<double>& values, double part) {
   auto at = values.begin() + static_cast<long>(part * static_cast<double>(values.size() - 1));
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -383,14 +383,17 @@
 constexpr double failure_threshold = 0.03, flood_threshold = 0.2,
                  flood_least = 8;                           // beside older ones, and without
 constexpr double beyond_chance = 0.001, level_most = 0.03;  // of failures: for one vote, and at most for many
+constexpr double aged_slow = 1.6;                           // times the older build's latency
 constexpr double machine_spread = 0.22;  // of the logarithm of a machine's latency, load included
 // How much slower the whole fleet must be, for twice so long, at what load, and than what it may be before.
 constexpr double shared_slow = 1.7, shared_load = 1.3, shared_before = 1.4;
 constexpr Span shared_window = 1500ms, fleet_most = 8s;
 constexpr Span clock_lag = 500ms;    // a step is near its end so long after latest start and step time
+constexpr Span wave_apart = 1s;      // machines of two waves start so far apart
 constexpr Span poorly_memory = 10s;  // machines of the older build that were poorly so lately
 constexpr Span hold_few = 1s, hold_most = 4s;  // the longest hold, for few figures and for doubtful ones
 bool nobody(const Sample&) { return false; }
+bool poorly(const Counts& c) { return c.n >= 3 && c.failed + c.lost >= std::max(2.0, 0.12 * c.n); }
 }  // namespace
 
 Trial::Trial(const GateSettings& settings, int products)
@@ -477,6 +480,27 @@
   return fleet.all.mean_sla_part() > *usual_part_ + slower && 5 * slow >= 4 * seen;
 }
 
+// A build that turns bad with age does so first at the machines of its earlier waves, and few as they are,
+// each might pass for a machine's own trouble. The chance that trouble picks just them; the least over the
+// waves.
+double Trial::aged(const std::vector<Node>& nodes, const Arm& young) const {
+  std::vector<std::pair<Span, int>> seen;
+  for (auto& [n, c] : young.by_node)
+    if (c.n >= 3 && nodes[n].build == rel_->build)
+      seen.push_back({nodes[n].started, poorly(c) || (c.timed >= 3 && c.mean() > std::log(aged_slow))});
+  std::sort(seen.begin(), seen.end());
+  const int all = static_cast<int>(seen.size());
+  int bad = 0, both = 0;
+  for (auto& [started, is_bad] : seen) bad += is_bad;
+  double chance = 1;
+  for (int i = 0; i + 1 < all; ++i) {
+    both += seen[i].second;
+    if (seen[i + 1].first - seen[i].first < wave_apart || both < 2 || 4 * both < 3 * (i + 1)) continue;
+    chance = std::min(chance, picked(all, i + 1, bad, both));
+  }
+  return chance;
+}
+
 // From when on the fleet is looked at: a short while, or longer where answers are few.
 Span Trial::since(const Samples<Sample>& of, Span now) const {
   Span enough = !many_votes() ? now : of.size() < fleet_enough ? long_ago : of.back(fleet_enough - 1).at;
@@ -527,9 +551,10 @@
   }
   tally(young, fresh_, counted_from_, skip, &old);
 
+  const double aging = aged(nodes, young);
+  if (aging < level_) return condemn(figures("early machines alone are poorly, by chance", aging, level_));
   // Trouble of a machine is not the build's: where older machines are poorly too, or the trial has many, a
   // small part of its own that is poorly is left out. It hurts where a bad build and machine trouble meet.
-  auto poorly = [](const Counts& c) { return c.n >= 3 && c.failed + c.lost >= std::max(2.0, 0.12 * c.n); };
   auto poorly_in = [&](const Arm& arm) {
     return std::count_if(arm.by_node.begin(), arm.by_node.end(), [&](auto& c) { return poorly(c.second); });
   };
@@ -544,7 +569,7 @@
   }
 
   // Failures: over the threshold, and more than the older build's rate and chance explain.
-  bool doubtful = false;
+  bool doubtful = aging < 0.01;
   // Each is set against the older build's at the same time. Without older machines beside it only a flood of
   // errors speaks, on many machines: a few fail by themselves, and overload and cut links lose answers too.
   const bool wide = 10 * std::count_if(young.by_node.begin(), young.by_node.end(),
--- a/src/logic.h
+++ b/src/logic.h
@@ -117,6 +117,7 @@
   double answers_enough() const;  // of the fleet, to judge it by
   bool many_votes() const { return settings_.to_revert > 1; }
   Finding condemn(const std::string& why);
+  double aged(const std::vector<Node>& nodes, const Arm& young) const;
   bool shared_harm(double load, bool compared, Span now) const;
   Span since(const Samples<Sample>& of, Span now) const;
   void tally(Arm& arm, const Samples<Sample>& samples, Span from,
