Connections idle as long as others that broke at their next request are not used again

Probe: under 100 ms idle 8% break, like new ones; above, 40%: boxes drop them unseen long before the told time. Now the last 256 reuses tell up to what age (http/caller.cpp, Budget::stale); as they are forgotten it is tried again. Also: a dispute means the peer that is listed, not an older one of that name.

--- a/src/http/caller.cpp
+++ b/src/http/caller.cpp
@@ -4,6 +4,9 @@
 #include <utility>
 
 namespace robinhoist::http {
+namespace {
+constexpr int stale_told_by = 8, stale_part = 4;  // of so many reuses more than one in so many has broken
+}
 
 // One connection and the call that it carries, if any.
 class Connection : public net::Stream::Owner, public std::enable_shared_from_this<Connection> {
@@ -72,6 +75,7 @@
     caller->loop_.cancel(connect_timer_);
     shut(how == Ended::cancelled || how == Ended::timed_out);
     caller->remove(this);
+    if (how == Ended::broken) note_reuse(true);
     tell(how, {});
   }
 
@@ -93,6 +97,8 @@
     if (idle_at_) budget_->idle_.erase(*idle_at_);
     idle_at_.reset();
   }
+  net::Span idle() const { return caller_->loop_.now() - idle_from_; }
+  void reused() { reused_after_ = idle(); }
 
  private:
   void shut(bool reset) {
@@ -111,6 +117,7 @@
 
   void finished() {
     Response response = reader_.take();
+    note_reuse(false);
     auto self = shared_from_this();
     caller_->unasked_ += !stream_->in().empty();
     // What follows an answer unasked taints the connection.
@@ -127,11 +134,17 @@
         end(Ended::cancelled);
       });
       caller_->idle_.push_back(this);
+      idle_from_ = caller_->loop_.now();
       if (budget_) idle_at_ = budget_->idle_.insert(budget_->idle_.end(), this);
     }
     tell(Ended::answered, std::move(response));
   }
 
+  void note_reuse(bool broke) {
+    if (budget_ && reused_after_) budget_->reuses_.push({*reused_after_, broke});
+    reused_after_.reset();
+  }
+
   void tell(Ended how, Response&& response) {
     Caller::Done done = std::move(done_);
     done_ = nullptr;
@@ -147,9 +160,22 @@
   Caller::Done done_{};
   std::string out_{};
   net::Loop::Timer timer_ = net::Loop::no_timer, connect_timer_ = net::Loop::no_timer;
+  net::Span idle_from_{};
+  std::optional<net::Span> reused_after_{};  // of the call that is out, if it found the connection open
   bool written_ = false, shut_ = false;
 };
 
+bool Budget::stale(net::Span idle) const {
+  int alike = 0, broke = 0;
+  for (std::size_t i = 0; i < reuses_.size(); ++i) {
+    const Reuse& reuse = reuses_.back(i);
+    if (2 * reuse.idle < idle || reuse.idle > 2 * idle) continue;
+    ++alike;
+    broke += reuse.broke;
+  }
+  return alike >= stale_told_by && stale_part * broke > alike;
+}
+
 bool Budget::room() {
   if (open_ >= most_ && !idle_.empty()) idle_.front()->end(Ended::cancelled);
   return open_ < most_;
@@ -168,12 +194,13 @@
   while (!idle_.empty()) {
     Connection* last = idle_.back();
     idle_.pop_back();
-    if (!last->usable()) {
+    if (!last->usable() || (settings_.budget && settings_.budget->stale(last->idle()))) {
       last->end(Ended::cancelled);
       continue;
     }
     ++reused_;
     last->busy_again();
+    last->reused();
     last->carry(id, request, within, std::move(done));
     return id;
   }
--- a/src/http/caller.h
+++ b/src/http/caller.h
@@ -11,6 +11,7 @@
 
 #include "http/message.h"
 #include "net/stream.h"
+#include "samples.h"
 
 namespace robinhoist::http {
 
@@ -34,8 +35,16 @@
  private:
   friend class Connection;
   friend class Caller;
+  struct Reuse {
+    net::Span idle;
+    bool broke;
+  };
   bool room();
+  // Whether connections that stood idle for about so long have lately broken under the next request: peers
+  // and what lies between may drop them without a word, long before any time agreed on.
+  bool stale(net::Span idle) const;
   std::size_t most_, open_ = 0;
+  Samples<Reuse> reuses_{256};
   std::list<Connection*> idle_{};  // the longest idle first
 };
 
--- a/src/umpire/router.cpp
+++ b/src/umpire/router.cpp
@@ -426,8 +426,9 @@
 }
 
 bool Router::found_wrong(const std::string& node) {
+  // A name that has moved has an older peer too: the one that is listed is meant.
   for (std::size_t i = 0; i < peers_.size(); ++i)
-    if (peers_[i].name == node) {
+    if (peers_[i].name == node && (peers_[i].phase != NodePhase::out || listed_.count(node) == 0)) {
       ++counters_.wrong_reports;
       umpire_.answer_flagged(static_cast<int>(i));
       pull();
--- a/tests/stage.h
+++ b/tests/stage.h
@@ -23,6 +23,7 @@
 struct ScriptNode {
   struct Conn : net::Stream::Owner {
     ScriptNode& node;
+    Span answered{};
     std::shared_ptr<net::Stream> stream;
     http::RequestReader reader{http::Limits{}};
     Conn(ScriptNode& of, int fd) : node(of), stream(net::Stream::adopt(of.loop, fd, *this)) {}
@@ -38,6 +39,11 @@
       stream->write("HTTP/1.1 " + std::to_string(status) + " X\r\n" + extra + "Content-Length: 2\r\n\r\nhi");
     }
     void act(const std::string& what) {
+      if (what.rfind("stale-", 0) == 0) {  // dropped unseen when idle for so long: the next request is reset
+        if (answered != Span{} && node.loop.now() > answered + ms(what.substr(6))) return stream->drop(true);
+        answered = node.loop.now();
+        return answer(200);
+      }
       if (what == "ok") answer(200);
       else if (what == "error") answer(500);
       else if (what == "full") answer(503, "X-Not-Run: 1\r\nNot-Started: 1\r\n");
