--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -68,6 +68,28 @@
   EXPECT_LT(settings.node.keep_for, config.params.keep_idle);
 }
 
+// A peer that drops idle connections unseen: what stood idle as long as those that broke is not used again.
+TEST(Caller, learns_how_long_connections_may_stand_idle) {
+  net::Loop loop(net::steady_now());
+  tests::ScriptNode node(loop, "stale-15");
+  http::CallerSettings settings;
+  settings.budget = std::make_shared<http::Budget>(10);
+  http::Caller caller(loop, Poco::Net::SocketAddress("127.0.0.1:" + std::to_string(node.port())), settings);
+  int broken = 0, answered = 0;
+  for (int i = 0; i < 40; ++i)
+    loop.in(i * 25ms, [&] {
+      caller.call({}, 1s, [&](http::Ended how, http::Response&&) {
+        broken += how == http::Ended::broken;
+        answered += how == http::Ended::answered;
+      });
+    });
+  loop.in(1100ms, [&] { loop.stop(); });
+  loop.run();
+  EXPECT_EQ(broken + answered, 40);
+  EXPECT_GT(broken, 0);
+  EXPECT_LT(broken, 13);  // 20 if it went on as it began
+}
+
 // A server of the platform's that says what the test wants, and remembers what it was asked.
 struct Desk {
   net::Loop& loop;
