--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -93,8 +93,9 @@
   Span took = now - submission.sent;
   bool unheard = node.heard_at < submission.sent && took > patience();
   if (outcome == Outcome::moot || (outcome == Outcome::cancelled && !unheard)) return;
+  // A connection that broke is no silence: something there has ended it. A dead process refuses the next.
   if (lost(outcome) || outcome == Outcome::cancelled) {
-    if (node.heard_at < submission.sent) {
+    if (node.heard_at < submission.sent && outcome != Outcome::reset) {
       ++node.dead_run;
       node.dead_at = now;
     }
