--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -1,5 +1,6 @@
 // Plays tests/platform/*.txt against the router with the platform's protocol; its configuration, discovery
 // and release API against servers of the tests' own; and the process by its signals.
+#include <sys/resource.h>
 #include <sys/wait.h>
 
 #include <csignal>
@@ -90,6 +91,23 @@
   EXPECT_LT(broken, 13);  // 20 if it went on as it began
 }
 
+// What broke before its last byte was written has not run.
+TEST(Caller, a_request_that_was_not_written_whole_did_not_reach) {
+  net::Loop loop(net::steady_now());
+  int fd = -1;
+  net::Listener listener(loop, "127.0.0.1:0", [&](int accepted) { fd = accepted; });
+  http::Caller caller(loop, Poco::Net::SocketAddress("127.0.0.1:" + std::to_string(listener.port())), {});
+  http::Request request;
+  request.method = "POST";
+  request.body.assign(32 << 20, 'x');  // more than the kernel takes while nobody reads
+  std::optional<http::Ended> ended;
+  caller.call(request, 1s, [&](http::Ended how, http::Response&&) { ended = how; });
+  loop.in(100ms, [&] { ::close(fd); });
+  loop.in(200ms, [&] { loop.stop(); });
+  loop.run();
+  EXPECT_EQ(ended, http::Ended::unreached);
+}
+
 // A server of the platform's that says what the test wants, and remembers what it was asked.
 struct Desk {
   net::Loop& loop;
@@ -251,6 +269,10 @@
     write("{\"name\":");
     ::kill(umpire, SIGHUP);
   });
+  loop.in(730ms, [&] {
+    write(config(moved.at()));
+    ::kill(umpire, SIGHUP);
+  });
   loop.in(740ms, [&] { ::kill(umpire, SIGTERM); });
   loop.in(760ms, [&] { ::kill(umpire, SIGTERM); });
   loop.in(2500ms, [&] { loop.stop(); });
@@ -267,5 +289,54 @@
   std::remove(file.c_str());
 }
 
+// Out of descriptors below what it was told: it waits without spinning and takes clients again afterwards.
+TEST(Process, takes_clients_again_after_it_ran_out_of_descriptors) {
+  net::Loop loop(net::steady_now());
+  Desk node(loop, [&](const http::ExchangePtr& e) { e->answer(http::text_answer(200, "done")); });
+  Desk desk(loop, [&](const http::ExchangePtr& e) {
+    e->begin_stream({});
+    if (e->request.target != "/v1/watch")
+      e->write(with(listed(8, true), "127.0.0.1:9", "127.0.0.1:" + std::to_string(node.server.port())));
+  });
+  int port = 0;
+  {
+    port = net::Listener(loop, "127.0.0.1:0", [](int) {}).port();
+  }
+  const std::string file = testing::TempDir() + "descriptors-" + std::to_string(::getpid()) + ".json";
+  std::string text = with(config_text(), "127.0.0.1:0", "127.0.0.1:" + std::to_string(port));
+  std::ofstream(file) << with(with(text, "127.0.0.1:1", desk.at()), "127.0.0.1:1", desk.at());
+  const pid_t umpire = ::fork();
+  if (umpire == 0) {
+    const rlimit few{30, 30};
+    ::setrlimit(RLIMIT_NOFILE, &few);
+    ::execl(PROGRAM, PROGRAM, "platform", "--config", file.c_str(), static_cast<char*>(nullptr));
+    ::_exit(127);
+  }
+  const Poco::Net::SocketAddress at("127.0.0.1:" + std::to_string(port));
+  std::vector<std::unique_ptr<tests::RawClient>> silent;
+  tests::RawClient client;
+  loop.in(500ms, [&] {
+    for (int i = 0; i < 60; ++i) {
+      silent.push_back(std::make_unique<tests::RawClient>());
+      silent.back()->stream = net::Stream::connect(loop, at, *silent.back());
+    }
+  });
+  loop.in(900ms, [&] { silent.clear(); });
+  loop.in(1100ms, [&] {
+    client.stream = net::Stream::connect(loop, at, client);
+    client.stream->write("GET /look HTTP/1.1\r\nHost: x\r\nRequest-Id: r1\r\nRequest-Timeout: 400m\r\n\r\n");
+  });
+  loop.in(1500ms, [&] { ::kill(umpire, SIGTERM); });
+  loop.in(2500ms, [&] { loop.stop(); });
+  loop.run();
+  int status = 0;
+  rusage used{};
+  ::wait4(umpire, &status, 0, &used);
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0) << status;
+  EXPECT_EQ(client.got.substr(0, 12), "HTTP/1.1 200") << client.got;
+  EXPECT_EQ(used.ru_utime.tv_sec + used.ru_stime.tv_sec, 0);  // of two and a half that it ran
+  std::remove(file.c_str());
+}
+
 }  // namespace
 }  // namespace robinhoist
