A watch that is refused with a reason tells it again: the reason was read as too long

Seen in a fresh clone: the API's compaction play fails. Beast 1.74 compares a length with no limit as too large, which feeding head and body in one go had hidden (http/message.cpp, StreamReader). The limit on all pieces is now the largest number; each answer with a length still has the told one.

--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <cctype>
+#include <limits>
 #include <optional>
 
 namespace robinhoist::http {
@@ -330,7 +331,8 @@
 
 StreamReader::StreamReader(Limits limits) : limits_(limits), parser_(std::make_unique<Parser>()) {
   parser_->of.header_limit(static_cast<std::uint32_t>(limits.header));
-  parser_->of.body_limit(boost::none);
+  // No limit on all pieces together; none at all would read as less than any length (Beast 1.74).
+  parser_->of.body_limit(std::numeric_limits<std::uint64_t>::max());
 }
 StreamReader::~StreamReader() = default;
 
