One classing of submissions, one lateness, one child process in tests; less state in the router

The router no longer keeps what changed in a list: a submission knows the build it was chosen for. Mended: since the settings moved, the adapter refused a load report with an unknown word that is no number; it ignores unknown words again, as before.

--- a/src/benchlink/wire.cpp
+++ b/src/benchlink/wire.cpp
@@ -27,8 +27,9 @@
   if (at == fields.MemberEnd() || at->value.IsNull()) return load;
   if (!at->value.IsObject()) mistyped("pressure", "an object");
   for (const auto& value : at->value.GetObject()) {
-    const std::string name(value.name.GetString(), value.name.GetStringLength());
-    params::put_load(load, name, number_or(at->value, name.c_str(), -1));
+    std::optional<double>* place = params::load_place(load, value.name.GetString());
+    const double given = place ? number_or(at->value, value.name.GetString(), -1) : -1;
+    if (given >= 0) *place = given;
   }
   return load;
 }
--- a/src/http/caller.h
+++ b/src/http/caller.h
@@ -29,8 +29,6 @@
   explicit Budget(std::size_t most) : most_(most) {}
   Budget(const Budget&) = delete;
   Budget& operator=(const Budget&) = delete;
-  std::size_t open() const { return open_; }
-  std::size_t idle() const { return idle_.size(); }
 
  private:
   friend class Connection;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -6,6 +6,7 @@
 #include <sys/timerfd.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <condition_variable>
 #include <stdexcept>
 
@@ -107,6 +108,14 @@
   arm();
 }
 
+std::optional<std::int32_t> Loop::lateness(double part) const {
+  if (lateness_.empty()) return {};
+  std::vector<std::int32_t> late = lateness_;
+  auto at = late.begin() + static_cast<long>(part * static_cast<double>(late.size() - 1));
+  std::nth_element(late.begin(), at, late.end());
+  return *at;
+}
+
 void Loop::post(Task task) {
   {
     std::lock_guard lock(mutex_);
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -68,8 +69,9 @@
   // comes out here.
   void call(const Task& task);
 
-  // How late timers ran, for measurements: the last few thousand, in microseconds.
-  const std::vector<std::int32_t>& lateness() const { return lateness_; }
+  // How late timers ran, for measurements, in microseconds: below what this part of the last few thousand
+  // lie.
+  std::optional<std::int32_t> lateness(double part) const;
   std::size_t timers() const { return tasks_.size(); }
 
  private:
--- a/src/params/params.cpp
+++ b/src/params/params.cpp
@@ -136,13 +136,13 @@
   return to;
 }
 
-void put_load(Load& load, std::string_view name, double value) {
-  if (!(value >= 0) || !std::isfinite(value)) return;
+std::optional<double>* load_place(Load& load, std::string_view name) {
   const std::pair<const char*, std::optional<double>*> places[] = {
       {"busy_reqs", &load.held},    {"pending", &load.waiting},     {"cpu_share", &load.busy},
       {"svc_ms", &load.service_ms}, {"served_ps", &load.served_ps}, {"failed_ps", &load.failed_ps}};
   for (auto& [word, place] : places)
-    if (name == word) *place = value;
+    if (name == word) return place;
+  return nullptr;
 }
 
 }  // namespace robinhoist::params
--- a/src/params/params.h
+++ b/src/params/params.h
@@ -28,8 +28,7 @@
 // Of the object that an instance gets; BadInput names the field and what is wrong with it.
 Params decode(const json::Json& object);
 
-// One value of a load report, by the words of `load_report`; one without such a word, or that is no number
-// from 0, is left out.
-void put_load(Load& load, std::string_view name, double value);
+// Where a value of a load report belongs, by the words of `load_report`; null: not one of them.
+std::optional<double>* load_place(Load& load, std::string_view name);
 
 }  // namespace robinhoist::params
--- a/src/platform/process.cpp
+++ b/src/platform/process.cpp
@@ -23,13 +23,6 @@
 constexpr Span restart_window = 600ms;  // new connections may still come for so long after SIGTERM
 constexpr Span figures_every = 5s;
 
-std::string late_p99(std::vector<std::int32_t> late) {
-  if (late.empty()) return "0";
-  auto at = late.begin() + static_cast<long>(0.99 * static_cast<double>(late.size() - 1));
-  std::nth_element(late.begin(), at, late.end());
-  return log::text(*at);
-}
-
 }  // namespace
 
 umpire::RouterSettings router_settings(const Config& config) {
@@ -110,7 +103,7 @@
                     {"submissions", log::text(c.submissions)},
                     {"open", log::text(router.open_txns())},
                     {"clients", log::text(router.clients())},
-                    {"wake_late_us_p99", late_p99(loop.lateness())}});
+                    {"wake_late_us_p99", log::text(loop.lateness(0.99).value_or(0))}});
   };
   std::function<void()> tell = [&] {
     figures("figures");
--- a/src/platform/protocol.cpp
+++ b/src/platform/protocol.cpp
@@ -1,11 +1,11 @@
 #include "platform/protocol.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <cstdio>
 
 #include "figures.h"
+#include "settings/form.h"
 
 namespace robinhoist::platform {
 namespace {
@@ -27,19 +27,11 @@
   return found;
 }
 
-std::optional<double> number(std::string_view text) {
-  double value = 0;
-  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (text.empty() || error != std::errc{} || end != text.data() + text.size() || !std::isfinite(value))
-    return {};
-  return value;
-}
-
 // A number and its unit: 480m is 480 milliseconds, 480u microseconds.
 std::optional<double> time_ms(std::string_view text) {
   if (text.size() < 2) return {};
   const char unit = text.back();
-  const auto value = number(text.substr(0, text.size() - 1));
+  const auto value = settings::number_of(std::string(text.substr(0, text.size() - 1)));
   if (!value || (unit != 'm' && unit != 'u')) return {};
   return unit == 'm' ? *value : *value / 1000;
 }
@@ -54,7 +46,7 @@
     while (!pair.empty() && pair.front() == ' ') pair.remove_prefix(1);
     const std::size_t equals = pair.find('=');
     if (equals == std::string_view::npos || equals == 0) return {};
-    const auto value = number(pair.substr(equals + 1));
+    const auto value = settings::number_of(std::string(pair.substr(equals + 1)));
     if (!value) return {};
     figures.emplace_back(pair.substr(0, equals), *value);
   }
@@ -73,7 +65,7 @@
   return routes ? http::text_answer(200, "routes\n") : http::text_answer(503, "knows no nodes yet\n");
 }
 
-umpire::Asked PlatformProtocol::read(http::Exchange& exchange, int number_of_txn, Span) const {
+umpire::Asked PlatformProtocol::read(http::Exchange& exchange, int number_of_txn) const {
   http::Request& request = exchange.request;
   umpire::Asked asked;
   auto refuse = [&](int status, const std::string& why) {
@@ -125,34 +117,16 @@
 }
 
 umpire::Classed PlatformProtocol::classed(http::Ended how, const http::Response& response) const {
-  umpire::Classed classed{Outcome::reset};
-  switch (how) {
-    case http::Ended::answered:
-      if (response.status == 200 && !response.body.empty()) classed.outcome = Outcome::ok;
-      else if ((response.status == 503 || response.status == 504) &&
-               response.headers.get(not_run_header) == "1")
-        classed.outcome = Outcome::full;
-      else classed.outcome = Outcome::error;
-      break;
-    case http::Ended::unreached:
-      classed.outcome = Outcome::no_connection;
-      break;
-    case http::Ended::withheld:
-      classed.outcome = Outcome::moot;
-      break;
-    case http::Ended::garbled:
-      classed.outcome = Outcome::error;
-      break;
-    case http::Ended::timed_out:
-      classed.outcome = Outcome::timeout;
-      break;
-    case http::Ended::broken:
-    case http::Ended::cancelled:
-      break;
-  }
+  const bool turned_away =
+      (response.status == 503 || response.status == 504) && response.headers.get(not_run_header) == "1";
+  const Outcome answered = response.status == 200 && !response.body.empty() ? Outcome::ok
+                           : turned_away                                    ? Outcome::full
+                                                                            : Outcome::error;
+  umpire::Classed classed{umpire::outcome_of(how, answered)};
   if (params_.nodes.reports == Reports::none) return classed;
   if (const auto load = figures_of(response.headers.get(load_header)))
-    for (auto& [name, value] : *load) params::put_load(classed.load, name, value);
+    for (auto& [name, value] : *load)
+      if (auto* place = params::load_place(classed.load, name); place && value >= 0) *place = value;
   return classed;
 }
 
--- a/src/platform/protocol.h
+++ b/src/platform/protocol.h
@@ -10,7 +10,7 @@
  public:
   explicit PlatformProtocol(const params::Params& params) : params_(params) {}
   std::optional<http::Response> aside(const http::Request& request, bool routes) const override;
-  umpire::Asked read(http::Exchange& exchange, int txn, Span now) const override;
+  umpire::Asked read(http::Exchange& exchange, int txn) const override;
   void submission(http::Request& onward, std::size_t number, Span within) const override;
   umpire::Classed classed(http::Ended how, const http::Response& response) const override;
   http::Response not_taken(const umpire::Refusal& refusal) const override;
--- a/src/umpire/http_protocol.cpp
+++ b/src/umpire/http_protocol.cpp
@@ -45,7 +45,7 @@
 
 }  // namespace
 
-Asked HttpProtocol::read(http::Exchange& exchange, int number_of_txn, Span) const {
+Asked HttpProtocol::read(http::Exchange& exchange, int number_of_txn) const {
   const http::Request& request = exchange.request;
   const deployment::Deployment& all = settings_.deployment;
   const HeaderNames& names = settings_.headers;
@@ -90,27 +90,11 @@
 }
 
 Classed HttpProtocol::classed(http::Ended how, const http::Response& response) const {
-  const auto outcome = [&] {
-    switch (how) {
-      case http::Ended::answered:
-        return response.status < 500                                                       ? Outcome::ok
-               : response.status == 503 && response.headers.has(settings_.headers.not_run) ? Outcome::full
-                                                                                           : Outcome::error;
-      case http::Ended::unreached:
-        return Outcome::no_connection;
-      case http::Ended::withheld:
-        return Outcome::moot;
-      case http::Ended::garbled:
-        return Outcome::error;
-      case http::Ended::timed_out:
-        return Outcome::timeout;
-      case http::Ended::broken:
-      case http::Ended::cancelled:
-        break;
-    }
-    return Outcome::reset;
-  };
-  return {outcome(), load_of(response.headers.get("endpoint-load-metrics"))};
+  const Outcome answered = response.status < 500 ? Outcome::ok
+                           : response.status == 503 && response.headers.has(settings_.headers.not_run)
+                               ? Outcome::full
+                               : Outcome::error;
+  return {outcome_of(how, answered), load_of(response.headers.get("endpoint-load-metrics"))};
 }
 
 http::Response HttpProtocol::not_taken(const Refusal& refusal) const {
--- a/src/umpire/http_protocol.h
+++ b/src/umpire/http_protocol.h
@@ -10,7 +10,7 @@
  public:
   explicit HttpProtocol(const Settings& settings) : settings_(settings) {}
   std::optional<http::Response> aside(const http::Request&, bool) const override { return {}; }
-  Asked read(http::Exchange& exchange, int txn, Span now) const override;
+  Asked read(http::Exchange& exchange, int txn) const override;
   void submission(http::Request& onward, std::size_t number, Span within) const override;
   Classed classed(http::Ended how, const http::Response& response) const override;
   http::Response not_taken(const Refusal& refusal) const override;
--- a/src/umpire/protocol.h
+++ b/src/umpire/protocol.h
@@ -32,13 +32,33 @@
   Load load{};
 };
 
+// `answered`: what an answer that came whole amounts to, which alone differs by protocol.
+inline Outcome outcome_of(http::Ended how, Outcome answered) {
+  switch (how) {
+    case http::Ended::answered:
+      return answered;
+    case http::Ended::unreached:
+      return Outcome::no_connection;
+    case http::Ended::withheld:
+      return Outcome::moot;
+    case http::Ended::garbled:
+      return Outcome::error;
+    case http::Ended::timed_out:
+      return Outcome::timeout;
+    case http::Ended::broken:
+    case http::Ended::cancelled:
+      break;
+  }
+  return Outcome::reset;
+}
+
 class Protocol {
  public:
   virtual ~Protocol() = default;
   // Questions about the umpire itself; none: it is a client's request.
   virtual std::optional<http::Response> aside(const http::Request& request, bool routes) const = 0;
   // `txn` is the number that the txn gets if it is taken.
-  virtual Asked read(http::Exchange& exchange, int txn, Span now) const = 0;
+  virtual Asked read(http::Exchange& exchange, int txn) const = 0;
   virtual void submission(http::Request& onward, std::size_t number, Span within) const = 0;
   virtual Classed classed(http::Ended how, const http::Response& response) const = 0;
 
--- a/src/umpire/router.cpp
+++ b/src/umpire/router.cpp
@@ -69,7 +69,7 @@
     told_rel_ = rel;
     umpire_.release_news(rel, loop_.now());
     // Guards against a lower cap overtaken by a submission that waits for its connection.
-    recall([&](const Peer& peer) { return peer.build >= rel.build; });
+    recall([&](const Out& out) { return out.build >= rel.build; });
     pull();
   });
   server_ = std::make_unique<http::Server>(loop_, settings_.server,
@@ -101,9 +101,9 @@
   if (auto aside = protocol_.aside(exchange->request, routes())) return exchange->answer(std::move(*aside));
   if (drained_) return not_taken(exchange, {503, "this umpire is stopping"});
   const Span now = loop_.now();
-  Asked asked = protocol_.read(*exchange, next_txn(), now);
+  Asked asked = protocol_.read(*exchange, next_txn());
   if (asked.refusal) return not_taken(exchange, *asked.refusal);
-  if (!asked.id.empty() && !open_ids_.try_emplace(asked.id, asked.txn.txn).second)
+  if (!asked.id.empty() && !open_ids_.insert(asked.id).second)
     return not_taken(exchange, {400, "a txn of that id is open"});
   const Arrival& txn = asked.txn;
   Held held{.exchange = exchange,
@@ -192,7 +192,7 @@
   const Span now = loop_.now();
   if (news.whole) listed_.clear();
   std::vector<NodeNews> entries;
-  std::vector<bool> named(peers_.size(), false), changed(peers_.size(), false);
+  std::vector<bool> named(peers_.size(), false);
   for (const list::Entry& entry : news.entries) {
     const auto was = listed_.find(entry.name);
     // A name that comes back at another address is another peer; the old one is gone, though nobody says so.
@@ -212,13 +212,9 @@
     else listed_[entry.name] = entry;
     int index = peer_index(entry);
     if (index < 0) continue;
-    if (index >= static_cast<int>(named.size())) {
-      named.resize(index + 1, false);
-      changed.resize(index + 1, false);
-    }
+    if (index >= static_cast<int>(named.size())) named.resize(index + 1, false);
     named[index] = true;
     Peer& peer = peers_[index];
-    changed[index] = peer.phase != entry.phase || peer.build != entry.build;
     peer.build = entry.build;
     peer.phase = entry.phase;
     NodeNews node{};
@@ -248,9 +244,9 @@
   }
   umpire_.list_news(saved ? ListNews::saved : news.whole ? ListNews::whole : ListNews::changes, entries, now);
   // Guards against news overtaken by a submission that waits for its connection.
-  recall([&](const Peer& peer) {
-    const auto index = static_cast<std::size_t>(&peer - peers_.data());
-    return peer.phase != NodePhase::in || (index < changed.size() && changed[index]);
+  recall([&](const Out& out) {
+    const Peer& peer = peers_[out.node];
+    return peer.phase != NodePhase::in || peer.build != out.build;
   });
   if (keeper_ && !saved) {
     list::News all{news.series, news.version, true, {}};
@@ -351,16 +347,16 @@
     ended(txn, index, protocol_.classed(how, response), std::move(response));
   };
   held.submissions.push_back(
-      {decision.node, peer.caller->call(held.request, within, std::move(done)), false});
+      {decision.node, peer.build, peer.caller->call(held.request, within, std::move(done)), false});
 }
 
 // What has not been written yet goes back to the module: it was chosen by what no longer holds.
-void Router::recall(const std::function<bool(const Peer&)>& from) {
+void Router::recall(const std::function<bool(const Out&)>& which) {
   std::vector<std::pair<int, std::size_t>> recalled;
   for (auto& [txn, held] : txns_)
     for (std::size_t i = 0; i < held.submissions.size(); ++i) {
       const Out& out = held.submissions[i];
-      if (!out.ended && from(peers_[out.node]) && peers_[out.node].caller->recall(out.call))
+      if (!out.ended && which(out) && peers_[out.node].caller->recall(out.call))
         recalled.emplace_back(txn, i);
     }
   std::sort(recalled.begin(), recalled.end());
@@ -524,14 +520,8 @@
                                                            {"release_news", c.release_news},
                                                            {"wrong_reports", c.wrong_reports}})
     out.put(name, count);
-  // How late the last few thousand timers were.
-  std::vector<std::int32_t> late = loop_.lateness();
-  for (auto& [name, part] : {std::pair("wake_late_us_p50", 0.5), std::pair("wake_late_us_p99", 0.99)}) {
-    if (late.empty()) break;
-    auto at = late.begin() + static_cast<long>(part * static_cast<double>(late.size() - 1));
-    std::nth_element(late.begin(), at, late.end());
-    out.put(name, *at);
-  }
+  for (auto& [name, part] : {std::pair("wake_late_us_p50", 0.5), std::pair("wake_late_us_p99", 0.99)})
+    if (auto late = loop_.lateness(part)) out.put(name, *late);
   out.open_list("nodes");
   for (const Peer& peer : peers_) {
     if (peer.phase == NodePhase::out || !peer.caller) continue;
--- a/src/umpire/router.h
+++ b/src/umpire/router.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "http/caller.h"
@@ -72,7 +73,7 @@
     Span gone_at = long_ago;
   };
   struct Out {
-    int node;
+    int node, build;  // build: of the node when it was chosen
     http::Caller::Id call;
     bool ended;
   };
@@ -96,7 +97,7 @@
   void pull();
   void carry_out(const Decision& decision);
   void submit(const Decision& decision);
-  void recall(const std::function<bool(const Peer&)>& from);
+  void recall(const std::function<bool(const Out&)>& which);
   void ended(int txn, std::size_t submission, const Classed& classed, http::Response&& response);
   void end_txn(Held& held, http::Response response, const char* outcome, const std::string& why, Span pause);
   void forget(int txn);
@@ -123,7 +124,7 @@
   std::unordered_map<std::string, int> peer_of_{};
   std::map<std::string, list::Entry> listed_{};  // as last heard, for the saved file
   std::unordered_map<int, Held> txns_{};
-  std::unordered_map<std::string, int> open_ids_{};
+  std::unordered_set<std::string> open_ids_{};
   std::size_t unanswered_ = 0;
   int last_txn_ = 0;
   Span wall_start_, started_at_{};
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -1,10 +1,8 @@
 // Plays tests/platform/*.txt against the router with the platform's protocol; its configuration, discovery
 // and release API against servers of the tests' own; and the process by its signals.
-#include <sys/resource.h>
-#include <sys/wait.h>
-
 #include <csignal>
 
+#include "child.h"
 #include "platform/process.h"
 #include "platform/protocol.h"
 #include "platform/sources.h"
@@ -221,121 +219,100 @@
   EXPECT_EQ(flagged, std::vector<std::string>{"s1"});
 }
 
+// What the program needs around it: a node, the platform's services, its file; and a client of its own.
+struct Around {
+  net::Loop& loop;
+  Desk node, desk;
+  tests::RawClient client{};
+  const int port = tests::port_free();
+  const std::string file = testing::TempDir() + "platform-" + std::to_string(::getpid()) + ".json";
+  Around(net::Loop& on, std::function<void(const http::ExchangePtr&)> node_does)
+      : loop(on), node(on, std::move(node_does)), desk(on, [this](const http::ExchangePtr& e) {
+          e->begin_stream({});
+          if (e->request.target != "/v1/watch")
+            e->write(with(listed(8, true), "127.0.0.1:9", "127.0.0.1:" + std::to_string(node.server.port())));
+        }) {
+    configure(desk.at());
+  }
+  ~Around() { std::remove(file.c_str()); }
+  void write(const std::string& text) { std::ofstream(file) << text; }
+  void configure(const std::string& services) {
+    std::string text = with(config_text(), "127.0.0.1:0", "127.0.0.1:" + std::to_string(port));
+    write(with(with(text, "127.0.0.1:1", services), "127.0.0.1:1", services));
+  }
+  void connect(tests::RawClient& from) {
+    const Poco::Net::SocketAddress at("127.0.0.1:" + std::to_string(port));
+    from.stream = net::Stream::connect(loop, at, from);
+  }
+  void ask(const std::string& line, const std::string& more = "") {
+    connect(client);
+    client.stream->write(line + " HTTP/1.1\r\nHost: x\r\nRequest-Id: r1\r\nRequest-Timeout: 400m\r\n" + more +
+                         "\r\n");
+  }
+};
+
 // The program itself: reloads in a row, one of them of a file that can't be read; SIGTERM twice with a txn
 // open.
 TEST(Process, reloads_and_ends_without_losing_a_txn) {
   net::Loop loop(net::steady_now());
-  std::vector<http::ExchangePtr> held;
-  Desk node(loop, [&](const http::ExchangePtr& e) {
+  Around around(loop, [&](const http::ExchangePtr& e) {
     loop.in(300ms, [e] { e->answer(http::text_answer(200, "done")); });
   });
-  Desk desk(loop, [&](const http::ExchangePtr& e) {
-    e->begin_stream({});
-    std::string list = listed(8, true);
-    if (e->request.target != "/v1/watch")
-      e->write(with(list, "127.0.0.1:9", "127.0.0.1:" + std::to_string(node.server.port())));
-  });
   Desk moved(loop, [&](const http::ExchangePtr& e) { e->begin_stream({}); });
-  int port = 0;
-  {
-    port = net::Listener(loop, "127.0.0.1:0", [](int) {}).port();
-  }
-  const std::string file = testing::TempDir() + "platform-" + std::to_string(::getpid()) + ".json";
-  const auto write = [&](const std::string& text) { std::ofstream(file) << text; };
-  const auto config = [&](const std::string& at) {
-    std::string text = with(config_text(), "127.0.0.1:0", "127.0.0.1:" + std::to_string(port));
-    return with(with(text, "127.0.0.1:1", at), "127.0.0.1:1", at);
-  };
-  write(config(desk.at()));
-  const pid_t umpire = ::fork();
-  if (umpire == 0) {
-    ::setenv("ROUTER_CONFIG", file.c_str(), 1);
-    ::execl(PROGRAM, PROGRAM, "platform", static_cast<char*>(nullptr));
-    ::_exit(127);
-  }
-  tests::RawClient client;
-  loop.in(600ms, [&] {
-    client.stream =
-        net::Stream::connect(loop, Poco::Net::SocketAddress("127.0.0.1:" + std::to_string(port)), client);
-    client.stream->write(
-        "POST /pay HTTP/1.1\r\nHost: x\r\nRequest-Id: r1\r\nRequest-Timeout: 400m\r\n"
-        "Content-Length: 0\r\n\r\n");
-  });
+  ::setenv("ROUTER_CONFIG", around.file.c_str(), 1);
+  tests::Child umpire({"platform"}, "/dev/null");
+  ::unsetenv("ROUTER_CONFIG");
+  loop.in(600ms, [&] { around.ask("POST /pay", "Content-Length: 0\r\n"); });
   loop.in(700ms, [&] {
-    write(config(moved.at()));
-    ::kill(umpire, SIGHUP);
+    around.configure(moved.at());
+    ::kill(umpire.pid, SIGHUP);
   });
   loop.in(720ms, [&] {
-    write("{\"name\":");
-    ::kill(umpire, SIGHUP);
+    around.write("{\"name\":");
+    ::kill(umpire.pid, SIGHUP);
   });
   loop.in(730ms, [&] {
-    write(config(moved.at()));
-    ::kill(umpire, SIGHUP);
+    around.configure(moved.at());
+    ::kill(umpire.pid, SIGHUP);
   });
-  loop.in(740ms, [&] { ::kill(umpire, SIGTERM); });
-  loop.in(760ms, [&] { ::kill(umpire, SIGTERM); });
+  loop.in(740ms, [&] { ::kill(umpire.pid, SIGTERM); });
+  loop.in(760ms, [&] { ::kill(umpire.pid, SIGTERM); });
   loop.in(2500ms, [&] { loop.stop(); });
   loop.run();
-  int status = 0;
-  const pid_t ended = ::waitpid(umpire, &status, WNOHANG);
-  if (ended != umpire) ::kill(umpire, SIGKILL), ::waitpid(umpire, &status, 0);
-  EXPECT_EQ(ended, umpire);
-  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0) << status;
-  EXPECT_EQ(client.got.substr(0, 12), "HTTP/1.1 200") << client.got;
-  EXPECT_NE(client.got.find("Connection: close"), std::string::npos);
-  EXPECT_EQ(node.asked.size(), 1u);
+  EXPECT_EQ(umpire.end(SIGKILL), 0);  // -9 had it not ended by itself
+  EXPECT_EQ(around.client.got.substr(0, 12), "HTTP/1.1 200") << around.client.got;
+  EXPECT_NE(around.client.got.find("Connection: close"), std::string::npos);
+  EXPECT_EQ(around.node.asked.size(), 1u);
   EXPECT_EQ(moved.asked.size(), 2u);  // both watches, once
-  std::remove(file.c_str());
 }
 
 // Out of descriptors below what it was told: it waits without spinning and takes clients again afterwards.
 TEST(Process, takes_clients_again_after_it_ran_out_of_descriptors) {
   net::Loop loop(net::steady_now());
-  Desk node(loop, [&](const http::ExchangePtr& e) { e->answer(http::text_answer(200, "done")); });
-  Desk desk(loop, [&](const http::ExchangePtr& e) {
-    e->begin_stream({});
-    if (e->request.target != "/v1/watch")
-      e->write(with(listed(8, true), "127.0.0.1:9", "127.0.0.1:" + std::to_string(node.server.port())));
-  });
-  int port = 0;
-  {
-    port = net::Listener(loop, "127.0.0.1:0", [](int) {}).port();
-  }
-  const std::string file = testing::TempDir() + "descriptors-" + std::to_string(::getpid()) + ".json";
-  std::string text = with(config_text(), "127.0.0.1:0", "127.0.0.1:" + std::to_string(port));
-  std::ofstream(file) << with(with(text, "127.0.0.1:1", desk.at()), "127.0.0.1:1", desk.at());
-  const pid_t umpire = ::fork();
-  if (umpire == 0) {
-    const rlimit few{30, 30};
-    ::setrlimit(RLIMIT_NOFILE, &few);
-    ::execl(PROGRAM, PROGRAM, "platform", "--config", file.c_str(), static_cast<char*>(nullptr));
-    ::_exit(127);
-  }
-  const Poco::Net::SocketAddress at("127.0.0.1:" + std::to_string(port));
+  Around around(loop, [&](const http::ExchangePtr& e) { e->answer(http::text_answer(200, "done")); });
+  rusage before{}, after{};
+  ::getrusage(RUSAGE_CHILDREN, &before);
+  tests::Child umpire({"platform", "--config", around.file}, "/dev/null", 30);
   std::vector<std::unique_ptr<tests::RawClient>> silent;
-  tests::RawClient client;
   loop.in(500ms, [&] {
     for (int i = 0; i < 60; ++i) {
       silent.push_back(std::make_unique<tests::RawClient>());
-      silent.back()->stream = net::Stream::connect(loop, at, *silent.back());
+      around.connect(*silent.back());
     }
   });
   loop.in(900ms, [&] { silent.clear(); });
-  loop.in(1100ms, [&] {
-    client.stream = net::Stream::connect(loop, at, client);
-    client.stream->write("GET /look HTTP/1.1\r\nHost: x\r\nRequest-Id: r1\r\nRequest-Timeout: 400m\r\n\r\n");
-  });
-  loop.in(1500ms, [&] { ::kill(umpire, SIGTERM); });
+  loop.in(1100ms, [&] { around.ask("GET /look"); });
+  loop.in(1500ms, [&] { ::kill(umpire.pid, SIGTERM); });
   loop.in(2500ms, [&] { loop.stop(); });
   loop.run();
-  int status = 0;
-  rusage used{};
-  ::wait4(umpire, &status, 0, &used);
-  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0) << status;
-  EXPECT_EQ(client.got.substr(0, 12), "HTTP/1.1 200") << client.got;
-  EXPECT_EQ(used.ru_utime.tv_sec + used.ru_stime.tv_sec, 0);  // of two and a half that it ran
-  std::remove(file.c_str());
+  EXPECT_EQ(umpire.end(SIGTERM), 0);
+  EXPECT_EQ(around.client.got.substr(0, 12), "HTTP/1.1 200") << around.client.got;
+  ::getrusage(RUSAGE_CHILDREN, &after);
+  const auto used = [](const rusage& of) {
+    return of.ru_utime.tv_sec + of.ru_stime.tv_sec +
+           1e-6 * static_cast<double>(of.ru_utime.tv_usec + of.ru_stime.tv_usec);
+  };
+  EXPECT_LT(used(after) - used(before), 1);  // of two and a half seconds that it ran
 }
 
 }  // namespace
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -14,6 +14,7 @@
 #include <random>
 #include <thread>
 
+#include "child.h"
 #include "load/load.h"
 #include "machine/machine.h"
 #include "plays.h"
@@ -25,6 +26,7 @@
 
 using namespace std::chrono_literals;
 namespace fs = std::filesystem;
+using tests::port_free;
 using tests::Words;
 
 std::string temp(const std::string& name) {
@@ -94,46 +96,10 @@
   EXPECT_NE(saved::write("/nowhere/at/all", "x"), "");
 }
 
-// A process of the program, with its own limits.
-struct Child {
-  pid_t pid;
-  Child(const Words& words, rlim_t files = 0) : pid(::fork()) {
-    if (pid != 0) return;
-    if (files > 0) {
-      rlimit limit{files, files};
-      ::setrlimit(RLIMIT_NOFILE, &limit);
-    }
-    const int log = ::open(temp("child.log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-    ::dup2(log, 2);
-    std::vector<char*> argv{const_cast<char*>(PROGRAM)};
-    for (const std::string& word : words) argv.push_back(const_cast<char*>(word.c_str()));
-    argv.push_back(nullptr);
-    ::execv(PROGRAM, argv.data());
-    ::_exit(127);
-  }
-  ~Child() { end(SIGKILL); }
-  int end(int signal) {
-    if (pid <= 0) return 0;
-    ::kill(pid, signal);
-    int status = 0;
-    ::waitpid(pid, &status, 0);
-    pid = 0;
-    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
-  }
+struct Child : tests::Child {
+  Child(const Words& words, rlim_t files = 0) : tests::Child(words, temp("child.log"), files) {}
 };
 
-int port_free() {
-  int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in at{};
-  at.sin_family = AF_INET;
-  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t length = sizeof at;
-  ::bind(fd, reinterpret_cast<sockaddr*>(&at), length);
-  ::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &length);
-  ::close(fd);
-  return ntohs(at.sin_port);
-}
-
 int connect_to(int port) {
   int fd = ::socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in at{};
