Nothing begins for a client that has left; an end waits for what is still owed

Faults found by reading the ending paths, each confirmed by a test with the crossing forced: - Router::left: a submission still waiting for its connection was written after the client had gone. It is taken back now (Router::withdraw), for half-closes too; closes behind unread bytes are looked for while reading is paused. - Router::check_drained ended the loop 20 ms after the last txn's answer: half requests, unread ones and unwritten answers were cut off. It waits for the clients to end now, each bounded by its own timer. - Client::idle_since took a half-read request and an unwritten answer for idle. - Stream::finish closed with bytes unread, a reset.

--- a/src/cli/ask.cpp
+++ b/src/cli/ask.cpp
@@ -40,7 +40,7 @@
   http::StreamCaller stream(loop, Poco::Net::SocketAddress(address), limits);
   bool well = false;
   stream.start(
-      request, 30s,
+      request, {30s, 30s},
       [&](std::string& body) {
         well = true;
         std::size_t from = 0;
@@ -49,6 +49,7 @@
           on = line(body.substr(from, end - from));
         body.erase(0, from);
         if (!on) loop.stop();
+        return from > 0;
       },
       [&](int status, const std::string& body) {
         asked.status = status;
--- a/src/http/caller.cpp
+++ b/src/http/caller.cpp
@@ -25,18 +25,19 @@
     });
   }
 
-  void carry(Caller::Id id, const Request& request, net::Span within, Caller::Done done) {
+  void carry(Caller::Id id, Request request, net::Span within, Caller::Done done, Caller::Word word) {
     id_ = id;
     done_ = std::move(done);
+    request_ = std::move(request);
+    word_ = std::move(word);
+    until_ = caller_->loop_.now() + within;
     caller_->loop_.cancel(timer_);
     timer_ = caller_->loop_.in(within, [this] {
       timer_ = net::Loop::no_timer;
       end(whole() ? Ended::timed_out : Ended::unreached);
     });
-    reader_.expect(request.method == "HEAD");
+    reader_.expect(request_.method == "HEAD");
     written_ = false;
-    out_.clear();
-    put(out_, request, caller_->host_);
     if (stream_ && stream_->open()) send();
   }
 
@@ -111,8 +112,12 @@
 
   void send() {
     written_ = true;
-    stream_->write(out_);
-    std::string().swap(out_);
+    if (word_) word_(request_, std::max(net::Span(1), until_ - caller_->loop_.now()));
+    std::string out;
+    put(out, request_, caller_->host_);
+    request_ = {};  // not kept: nodes are many, and requests may be large
+    word_ = nullptr;
+    stream_->write(out);
   }
 
   void finished() {
@@ -158,9 +163,10 @@
   ResponseReader reader_;
   Caller::Id id_ = 0;
   Caller::Done done_{};
-  std::string out_{};
+  Request request_{};  // until it is written
+  Caller::Word word_{};
   net::Loop::Timer timer_ = net::Loop::no_timer, connect_timer_ = net::Loop::no_timer;
-  net::Span idle_from_{};
+  net::Span until_{}, idle_from_{};
   std::optional<net::Span> reused_after_{};  // of the call that is out, if it found the connection open
   bool written_ = false, shut_ = false;
 };
@@ -189,7 +195,7 @@
   for (auto& connection : connections) connection->abandon();
 }
 
-Caller::Id Caller::call(const Request& request, net::Span within, Done done) {
+Caller::Id Caller::call(Request request, net::Span within, Done done, Word word) {
   const Id id = next_++;
   while (!idle_.empty()) {
     Connection* last = idle_.back();
@@ -201,7 +207,7 @@
     ++reused_;
     last->busy_again();
     last->reused();
-    last->carry(id, request, within, std::move(done));
+    last->carry(id, std::move(request), within, std::move(done), std::move(word));
     return id;
   }
   if (connections_.size() >= settings_.most_connections || (settings_.budget && !settings_.budget->room())) {
@@ -212,7 +218,7 @@
   auto connection = std::make_shared<Connection>(*this);
   connections_.push_back(connection);
   connection->connect();
-  connection->carry(id, request, within, std::move(done));
+  connection->carry(id, std::move(request), within, std::move(done), std::move(word));
   return id;
 }
 
--- a/src/http/caller.h
+++ b/src/http/caller.h
@@ -57,6 +57,8 @@
 class Caller {
  public:
   using Done = std::function<void(Ended, Response&&)>;
+  // The last word on a request, when it is written: how much of its time is left by then.
+  using Word = std::function<void(Request& request, net::Span left)>;
   // Names a call for cancel(); 0 is none.
   using Id = std::uint64_t;
 
@@ -66,7 +68,7 @@
   Caller& operator=(const Caller&) = delete;
 
   // `done` runs later, never from inside call(), and not after cancel().
-  Id call(const Request& request, net::Span within, Done done);
+  Id call(Request request, net::Span within, Done done, Word word = {});
   // Closes the connection that carries it: there is no other way to call off HTTP/1.1.
   void cancel(Id id);
   // Takes a call back that has not been written yet; `done` does not run. False: it has been.
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -7,6 +7,11 @@
 namespace robinhoist::http {
 namespace {
 constexpr net::Span asking_for = std::chrono::milliseconds(50);
+// How soon a client's close is seen behind bytes that we don't read: an attempt may begin 100 ms after it at
+// most.
+constexpr net::Span gone_seen = std::chrono::milliseconds(50);
+// For a client to end its side too after its last answer.
+constexpr net::Span lingers = std::chrono::seconds(1);
 constexpr int tries_for_room = 8;  // clients looked at that turn out to have just asked
 }  // namespace
 
@@ -25,10 +30,13 @@
     wait(first > net::Span{} ? first : server_->settings_.idle_for);
   }
 
-  // Since when it has no request open, if so.
-  std::optional<net::Span> idle_since() const {
-    if (open_ || closing_) return {};
-    return since_;
+  // What closing it would cost, the least first.
+  enum class Spare { lingers, idle, half_asked };
+  // Nothing is owed to one that lingers or is idle, and no answer yet to one whose request is not whole.
+  // None: it has a request open, or an answer that is not written.
+  std::optional<std::pair<Spare, net::Span>> spare() const {
+    if (open_ || stream_->unwritten() > 0) return {};
+    return std::pair(closing_ ? Spare::lingers : reader_.begun() ? Spare::half_asked : Spare::idle, since_);
   }
   // Whether a request is on its way into this process: then it is not to be closed as idle.
   bool asking() {
@@ -40,8 +48,10 @@
   void on_bytes(net::Stream&) override { next(); }
   void on_written(net::Stream&) override {
     if (open_ || closing_) return;
+    auto self = shared_from_this();
     stream_->read(true);
     next();
+    if (server_ && server_->leaving()) close_if_idle();
   }
   void on_closed(net::Stream&, net::Closed) override { leave(); }
 
@@ -92,7 +102,17 @@
   }
 
   void close_if_idle() {
-    if (server_ && idle_since() && !asking()) leave();
+    const auto now = spare();
+    if (server_ && now && now->first == Spare::idle && !asking()) leave();
+  }
+
+  // Its place is needed.
+  void make_way() {
+    const auto now = spare();
+    if (!server_ || !now) return;
+    if (now->first == Spare::idle) return close_if_idle();
+    if (now->first == Spare::half_asked) refuse(503, "no room: come again");
+    leave();
   }
 
   std::size_t unwritten() const { return stream_->unwritten(); }
@@ -109,8 +129,9 @@
     if (!keep) {
       closing_ = true;
       stream_->finish();
-      // A client that does not read its last answer is not waited for without end.
-      wait(server_->settings_.head_within);
+      // A client that does not read its last answer, or does not end its side, is not waited for without end.
+      since_ = server_->loop_.now();
+      wait(stream_->unwritten() > 0 ? server_->settings_.head_within : lingers);
       return;
     }
     since_ = server_->loop_.now();
@@ -152,7 +173,20 @@
       server_->handler_(ExchangePtr(open_));
       in_handler_ = false;
     }
-    if (server_ && open_ && stream_->in().size() > server_->settings_.limits.header) stream_->read(false);
+    if (server_ && open_ && stream_->in().size() > server_->settings_.limits.header) {
+      stream_->read(false);
+      watch_gone();
+    }
+  }
+
+  // While nothing is read, a close is looked for: guards against work begun for a client that has left.
+  void watch_gone() {
+    server_->loop_.cancel(timer_);
+    timer_ = server_->loop_.in(gone_seen, [this] {
+      timer_ = net::Loop::no_timer;
+      if (stream_->peer_ended()) return leave();
+      watch_gone();
+    });
   }
 
   void wait(net::Span span) {
@@ -160,7 +194,9 @@
     timer_ = server_->loop_.in(span, [this] {
       timer_ = net::Loop::no_timer;
       if (!closing_ && reader_.begun()) return refuse(408, "the request took too long to come");
-      if (!closing_ && asking() && stream_->in().empty()) return wait(asking_for);
+      // One that does not read its answers is not asking: what it has sent stays unread.
+      if (!closing_ && stream_->unwritten() == 0 && asking() && stream_->in().empty())
+        return wait(asking_for);
       leave();
     });
   }
@@ -237,12 +273,12 @@
 bool Server::room() {
   if (!settings_.make_room) return false;
   for (int tries = 0; tries < tries_for_room && clients_.size() >= settings_.most_clients; ++tries) {
-    std::shared_ptr<Client> longest;
-    net::Span since{};
+    std::shared_ptr<Client> first;
+    std::optional<std::pair<Client::Spare, net::Span>> least;
     for (auto& client : clients_)
-      if (auto at = client->idle_since(); at && (!longest || *at < since)) longest = client, since = *at;
-    if (!longest) return false;
-    longest->close_if_idle();
+      if (auto spare = client->spare(); spare && (!least || *spare < *least)) first = client, least = spare;
+    if (!first) return false;
+    first->make_way();
   }
   return clients_.size() < settings_.most_clients;
 }
@@ -252,7 +288,9 @@
   close_idle(0);
 }
 
+// First room is made, so that those who wait in the kernel can all be taken.
 void Server::drain() {
+  close_idle(0);
   listener_->finish();
   draining_ = true;
   close_idle(0);
--- a/src/http/stream_caller.cpp
+++ b/src/http/stream_caller.cpp
@@ -9,15 +9,15 @@
 
 StreamCaller::~StreamCaller() { stop(); }
 
-void StreamCaller::start(const Request& request, net::Span silent_most, Piece piece, Ended ended) {
+void StreamCaller::start(const Request& request, const Silence& silence, Piece piece, Ended ended) {
   stop();
   reader_ = std::make_unique<StreamReader>(limits_);
   piece_ = std::move(piece);
   ended_ = std::move(ended);
-  silent_most_ = silent_most;
+  silent_most_ = silence.most;
   out_.clear();
   put(out_, request, host_);
-  watch_silence();
+  watch_silence(silence.first);
   stream_ = net::Stream::connect(loop_, peer_, *this);
 }
 
@@ -26,9 +26,9 @@
   if (auto stream = std::exchange(stream_, nullptr)) stream->drop();
 }
 
-void StreamCaller::watch_silence() {
+void StreamCaller::watch_silence(net::Span most) {
   loop_.cancel(timer_);
-  timer_ = loop_.in(silent_most_, [this] {
+  timer_ = loop_.in(most, [this] {
     timer_ = net::Loop::no_timer;
     end();
   });
@@ -38,12 +38,12 @@
 
 void StreamCaller::on_bytes(net::Stream& stream) {
   auto keep = stream_;
-  watch_silence();
   const Read read = reader_->read(stream.in());
   if (read == Read::bad) return end();
   if (reader_->status() == 200) {
-    piece_(reader_->body());
+    const bool alive = piece_(reader_->body());
     if (stream_ != keep) return;  // stopped or begun anew by whoever took the piece
+    if (alive) watch_silence(silent_most_);
   }
   // What is neither taken nor ever ends is no stream of events.
   if (reader_->body().size() > limits_.body) return end();
--- a/src/http/stream_caller.h
+++ b/src/http/stream_caller.h
@@ -14,16 +14,22 @@
  public:
   // `status` is 0 when no head came; `body` holds what came last, whole for an answer that is no stream.
   using Ended = std::function<void(int status, const std::string& body)>;
-  using Piece = std::function<void(std::string& body)>;  // takes what it can use from the front
+  // Takes what it can use from the front; whether that was a sign of life: bytes that never make a whole are
+  // none.
+  using Piece = std::function<bool(std::string& body)>;
+  // How long no sign of life may come: from the start, and from one to the next.
+  struct Silence {
+    net::Span first, most;
+  };
 
   StreamCaller(net::Loop& loop, Poco::Net::SocketAddress peer, Limits limits);
   ~StreamCaller() override;
   StreamCaller(const StreamCaller&) = delete;
   StreamCaller& operator=(const StreamCaller&) = delete;
 
-  // Ends what went on before without a word. Silence longer than `silent_most`, before the head or after,
-  // ends it: guards against a peer that is gone without its connection being closed.
-  void start(const Request& request, net::Span silent_most, Piece piece, Ended ended);
+  // Ends what went on before without a word. Silence longer than that ends it: guards against a peer that is
+  // gone without its connection being closed, and against a connection that never comes up.
+  void start(const Request& request, const Silence& silence, Piece piece, Ended ended);
   void stop();
   bool running() const { return stream_ != nullptr; }
   const Poco::Net::SocketAddress& peer() const { return peer_; }
@@ -33,7 +39,7 @@
   void on_bytes(net::Stream&) override;
   void on_closed(net::Stream&, net::Closed how) override;
   void end();
-  void watch_silence();
+  void watch_silence(net::Span most);
 
   net::Loop& loop_;
   Poco::Net::SocketAddress peer_;
@@ -42,7 +48,7 @@
   std::shared_ptr<net::Stream> stream_{};
   std::unique_ptr<StreamReader> reader_{};
   std::string out_{};
-  net::Span silent_most_{};
+  net::Span silent_most_{};  // between two signs
   net::Loop::Timer timer_ = net::Loop::no_timer;
   Piece piece_{};
   Ended ended_{};
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -81,6 +81,12 @@
   timer = no_timer;
 }
 
+void Loop::pass(Span time) {
+  epoch_ -= time;
+  armed_ = Span{};
+  arm();
+}
+
 // An earlier alarm than needed is left as it is: it finds nothing due and sets the next.
 void Loop::arm() {
   if (tasks_.empty()) return;
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -61,6 +61,8 @@
   Timer at(Span when, Task task);
   Timer in(Span wait, Task task) { return at(now() + wait, std::move(task)); }
   void cancel(Timer& timer);
+  // As if so much time had passed: what falls due meanwhile runs next. For those who test long lives.
+  void pass(Span time);
   // From any thread: runs on the loop's thread, in order.
   void post(Task task);
   // From any thread: ends run() soon.
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -3,6 +3,7 @@
 #include <Poco/Net/StreamSocketImpl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -135,13 +136,15 @@
 void Stream::finish() {
   if (state_ == State::closed) return;
   finishing_ = true;
-  want_read(false);
-  if (state_ == State::open && unwritten() == 0) {
-    auto self = shared_from_this();
-    loop_.in(Span(0), [self] {
-      if (self->owner_) self->close(Closed::by_us);
-    });
-  }
+  in_.clear();
+  if (state_ != State::open) return;
+  want_read(true);
+  if (unwritten() == 0) end_sending();
+}
+
+void Stream::end_sending() {
+  ::shutdown(socket_.impl()->sockfd(), SHUT_WR);
+  if (peer_done_) close(Closed::by_us);
 }
 
 void Stream::write(std::string_view bytes) {
@@ -182,18 +185,29 @@
          would_block();
 }
 
+bool Stream::peer_ended() const {
+  pollfd look{socket_.impl()->sockfd(), POLLRDHUP, 0};
+  return state_ == State::open && ::poll(&look, 1, 0) > 0 &&
+         (look.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 void Stream::on_readable(Poco::Net::ReadableNotification* notice) {
   notice->release();
   auto self = shared_from_this();
   thread_local char buffer[read_at_once];
   ssize_t got = ::recv(socket_.impl()->sockfd(), buffer, sizeof buffer, 0);
+  if (finishing_ && got > 0) return;
+  if (finishing_ && got == 0 && unwritten() > 0) {  // it may still read
+    peer_done_ = true;
+    return want_read(false);
+  }
   if (got > 0) {
     received_ += static_cast<std::uint64_t>(got);
     in_.append(buffer, static_cast<std::size_t>(got));
     if (owner_) owner_->on_bytes(*this);
     if (in_.empty() && in_.capacity() > kept_at_most) std::string().swap(in_);
   } else if (got == 0) {
-    close(Closed::by_peer);
+    close(finishing_ ? Closed::by_us : Closed::by_peer);
   } else if (!would_block()) {
     close(Closed::reset);
   }
@@ -215,7 +229,7 @@
   if (!flush()) return close(Closed::reset);
   if (unwritten() > 0) return;
   want_write(false);
-  if (finishing_) return close(Closed::by_us);
+  if (finishing_) return end_sending();
   if (owner_) owner_->on_written(*this);
 }
 
@@ -255,7 +269,11 @@
 
 void Listener::finish() {
   if (!watched_) return;
-  for (int fd; (fd = ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0;) accepted_(fd);
+  for (;;) {
+    const int fd = ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd >= 0) accepted_(fd);
+    else if (errno != EINTR && errno != ECONNABORTED) break;  // one that broke off hides those behind it
+  }
   loop_.cancel(again_);
   paused_ = true;
   watched_.reset();  // closes it
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -33,13 +33,17 @@
   std::size_t unwritten() const { return out_.size() - out_at_; }
   // Stops and starts reading: back-pressure towards the peer.
   void read(bool on);
-  // Ends the connection once all is written. The owner hears of it by on_closed, later and once.
+  // Ends the connection once all is written: tells the peer so, and reads on without a use for it until the
+  // peer ends it too, for what lies unread at a close turns it into a reset that may destroy what was
+  // written. The owner hears of it by on_closed, later and once, and bounds the time.
   void finish();
   // Ends it now; the owner hears nothing any more. With `reset` the peer sees a broken connection.
   void drop(bool reset = false);
   bool open() const { return state_ == State::open; }
   // Whether there is nothing to be read, not even the peer's end.
   bool quiet() const;
+  // Whether the peer has ended its side, though what it sent before is still unread.
+  bool peer_ended() const;
   std::uint64_t received() const { return received_; }
   std::uint64_t sent() const { return sent_; }
   std::string peer() const { return peer_; }
@@ -57,6 +61,7 @@
   void close(Closed how);
   void leave_loop();
   void begin();
+  void end_sending();
 
   Loop& loop_;
   Poco::Net::StreamSocket socket_;
@@ -65,7 +70,8 @@
   std::string in_{}, out_{}, peer_{};
   std::size_t out_at_ = 0;
   std::uint64_t received_ = 0, sent_ = 0;
-  bool reading_ = false, writing_ = false, finishing_ = false, watching_ = false, wanted_ = true;
+  bool reading_ = false, writing_ = false, finishing_ = false, watching_ = false, wanted_ = true,
+       peer_done_ = false;
 };
 
 class Listener {
--- a/src/platform/process.cpp
+++ b/src/platform/process.cpp
@@ -58,7 +58,7 @@
   log::Log log(config.name, "info");
   net::Loop loop(net::steady_now());
   std::signal(SIGPIPE, SIG_IGN);
-  Discovery nodes(loop, config.discovery, config.known.version, config.salt + 1, log);
+  Discovery nodes(loop, config.discovery, config.known.version, Discovery::watching(config.salt + 1), log);
   ReleaseApi releases(loop, config.release_api, config.news, config.params.gate.call_timeout, config.salt + 2,
                       log);
   const PlatformProtocol protocol(config.params);
--- a/src/platform/sources.cpp
+++ b/src/platform/sources.cpp
@@ -1,21 +1,27 @@
 #include "platform/sources.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace robinhoist::platform {
 namespace {
 
 using namespace std::chrono_literals;
 
-constexpr net::Span pause_least = 50ms, pause_most = 2s;
-// A sign of life is due every second (release API) or every two (discovery).
-constexpr net::Span releases_silent = 3s, nodes_silent = 6s;
-constexpr std::size_t longest_line = 1 << 20;
+// What a watch misses counts as told so long after it fell silent, whether or not it came: by then the
+// silence must be known, another watch be up and its list taken, though a connection or two hang on the way.
+constexpr net::Span told_after = 6s;
+// An empty line is due every two seconds, and the agent is on this machine and answers at once.
+constexpr net::Span nodes_silent = told_after / 2, nodes_first = 1s, nodes_pause = 500ms;
+// A sign of life is due every second.
+constexpr net::Span releases_silent = 3s, releases_pause = 2s;
+constexpr net::Span pause_least = 50ms;
+constexpr std::size_t longest_object = 1 << 20;
 constexpr std::size_t votes_at_once = 4;
 // Two words of one state differ by the way they took.
 constexpr Span same_state = 100ms;
 
-http::Limits api_limits() { return {.header = 8 * 1024, .body = longest_line, .framed = true}; }
+http::Limits api_limits() { return {.header = 8 * 1024, .body = longest_object, .framed = true}; }
 
 http::CallerSettings for_votes() {
   http::CallerSettings settings;
@@ -40,17 +46,32 @@
   return "blank";
 }
 
+// How far a build has come: a trial's stages, the release, the way back.
+std::pair<int, int> place(const RelNews& rel) {
+  switch (rel.phase) {
+    case RelPhase::trial:
+      return {0, rel.stage};
+    case RelPhase::released:
+      return {1, 0};
+    case RelPhase::going_back:
+      return {2, 0};
+    case RelPhase::withdrawn:
+      break;
+  }
+  return {3, 0};
+}
+
 }  // namespace
 
 Watch::Watch(net::Loop& loop, const std::string& address, const Settings& settings, const log::Log& log)
     : loop_(loop), address_(address), settings_(settings), log_(log),
-      backoff_(pause_least, pause_most, settings.salt) {}
+      backoff_(pause_least, settings.pause_most, settings.salt), framer_(longest_object) {}
 
 Watch::~Watch() { loop_.cancel(timer_); }
 
-void Watch::start(Target target, Line line) {
+void Watch::start(Target target, Event event) {
   target_ = std::move(target);
-  line_ = std::move(line);
+  event_ = std::move(event);
   ask();
 }
 
@@ -72,28 +93,31 @@
   http::Request request;
   request.target = target_();
   stream_ = std::make_unique<http::StreamCaller>(loop_, Poco::Net::SocketAddress(address_), api_limits());
+  framer_ = json::Framer(longest_object);
   stream_->start(
-      request, settings_.silent_most, [this](std::string& body) { take(body); },
+      request, settings_.silence, [this](std::string& body) { return take(body); },
       [this](int, const std::string&) { ended(); });
 }
 
-void Watch::take(std::string& body) {
-  std::size_t at = 0;
+bool Watch::take(std::string& body) {
+  const std::size_t lines = framer_.lines();
+  std::size_t objects = 0;
   try {
-    for (std::size_t end; (end = body.find('\n', at)) != std::string::npos; at = end + 1) {
-      std::string_view line = std::string_view(body).substr(at, end - at);
-      if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
-      if (line.empty()) continue;
-      line_(json::object_of(line));
-    }
+    json::Framed framed;
+    for (; (framed = framer_.next(body)) == json::Framed::object; ++objects)
+      event_(json::object_of(framer_.object()));
+    if (framed == json::Framed::bad) throw json::BadInput("what comes is no JSON object");
   } catch (const json::BadInput& bad) {
     stream_->stop();
-    return broken(bad.what());
+    broken(bad.what());
+    return false;
   }
-  body.erase(0, at);
+  body.erase(0, framer_.done());
+  if (objects == 0 && framer_.lines() == lines) return false;
   backoff_.worked();
   if (failing_) log_.info("heard again", {{"of", settings_.what}, {"from", address_}});
   failing_ = false;
+  return true;
 }
 
 void Watch::ended() { broken("it ended or fell silent"); }
@@ -105,19 +129,35 @@
   timer_ = loop_.in(backoff_.failed(), [this] { ask(); });
 }
 
-Discovery::Discovery(net::Loop& loop, const std::string& address, std::int64_t version, unsigned salt,
-                     const log::Log& log)
-    : version_(version),
-      watch_(loop, address, {.what = "nodes", .silent_most = nodes_silent, .salt = salt}, log) {}
+Watch::Settings Discovery::watching(unsigned salt) {
+  return {.what = "nodes",
+          .silence = {.first = nodes_first, .most = nodes_silent},
+          .pause_most = nodes_pause,
+          .salt = salt};
+}
+
+Discovery::Discovery(net::Loop& loop, const std::string& address, std::int64_t version,
+                     const Watch::Settings& watch, const log::Log& log)
+    : loop_(loop), version_(version), watch_(loop, address, watch, log) {}
 
 void Discovery::start(Heard heard) {
+  heard_ = std::move(heard);
   watch_.start([this] { return "/discovery/hosts?watch=1&from=" + std::to_string(version_); },
-               [this, heard](const json::Json& object) {
-                 list::News news = nodes_of(object);
-                 if (!news.whole && news.version < version_) return;  // older than what is held
-                 version_ = news.version;
-                 heard(news);
-               });
+               [this](const json::Json& object) { told(nodes_of(object)); });
+}
+
+// A list older than the one held is not believed, unless nothing else has been told for as long as a change
+// may take: then discovery has begun anew.
+void Discovery::told(const list::News& news) {
+  if (news.version < version_) {
+    if (!older_from_) older_from_ = loop_.now();
+    if (!news.whole || loop_.now() < *older_from_ + told_after)
+      throw json::BadInput("revision " + std::to_string(news.version) + " is older than the one held, " +
+                           std::to_string(version_));
+  }
+  older_from_.reset();
+  version_ = news.version;
+  heard_(news);
 }
 
 void Discovery::refresh() {
@@ -125,11 +165,18 @@
   watch_.again();
 }
 
+Watch::Settings ReleaseApi::watching(unsigned salt) {
+  return {.what = "releases",
+          .silence = {.first = releases_silent, .most = releases_silent},
+          .pause_most = releases_pause,
+          .salt = salt};
+}
+
 ReleaseApi::ReleaseApi(net::Loop& loop, const std::string& address, const RelNews& known,
                        net::Span vote_within, unsigned salt, const log::Log& log)
     : loop_(loop), vote_within_(vote_within), known_(known), known_from_(loop.now() - known.since),
       caller_(std::make_unique<http::Caller>(loop, Poco::Net::SocketAddress(address), for_votes())),
-      watch_(loop, address, {.what = "releases", .silent_most = releases_silent, .salt = salt}, log) {}
+      watch_(loop, address, watching(salt), log) {}
 
 void ReleaseApi::start(Heard heard) {
   heard_ = std::move(heard);
@@ -147,10 +194,16 @@
                });
 }
 
-// A vote's answer and the watch may overtake each other: what stood earlier is no news.
+// A vote's answer and the watch may overtake each other, or come from an address given up: what stood earlier
+// is no news. An answer that was long on its way seems younger than it is, by as much as a vote may take:
+// guards against the cap of a stage that is over.
 void ReleaseApi::told(const RelNews& rel) {
   const Span from = loop_.now() - rel.since;
-  if (rel.build < known_.build || (rel.build == known_.build && from < known_from_ - same_state)) return;
+  if (rel.build < known_.build) return;
+  if (rel.build == known_.build) {
+    const auto now = place(rel), before = place(known_);
+    if (from < known_from_ + (now < before ? vote_within_ : -same_state)) return;
+  }
   known_ = rel;
   known_from_ = from;
   heard_(rel);
--- a/src/platform/sources.h
+++ b/src/platform/sources.h
@@ -8,6 +8,7 @@
 
 #include "http/caller.h"
 #include "http/stream_caller.h"
+#include "json/framing.h"
 #include "log/log.h"
 #include "platform/config.h"
 #include "retry/backoff.h"
@@ -15,27 +16,29 @@
 
 namespace robinhoist::platform {
 
-// One endless answer after the other, line by line. A line that makes no sense ends the connection it came
-// on; silence does too; then comes another, after a pause that grows with each failure.
+// One endless answer after the other, object by object: only what has come whole is told. An object that
+// makes no sense ends the connection it came on; silence does too; then comes another, after a pause that
+// grows with each failure.
 class Watch {
  public:
   struct Settings {
     std::string what{};  // for the log
-    net::Span silent_most{};
+    http::StreamCaller::Silence silence{};
+    net::Span pause_most{};
     unsigned salt = 1;
   };
   using Target = std::function<std::string()>;
-  using Line = std::function<void(const json::Json& object)>;  // throws json::BadInput
+  using Event = std::function<void(const json::Json& object)>;  // throws json::BadInput
   Watch(net::Loop& loop, const std::string& address, const Settings& settings, const log::Log& log);
   ~Watch();
-  void start(Target target, Line line);
+  void start(Target target, Event event);
   void again();  // at once
   // From now on there; what was open to the old address is closed.
   void move(const std::string& address);
 
  private:
   void ask();
-  void take(std::string& body);
+  bool take(std::string& body);
   void ended();
   void broken(const std::string& why);
 
@@ -46,28 +49,36 @@
   std::unique_ptr<http::StreamCaller> stream_{};
   retry::Backoff backoff_;
   Target target_{};
-  Line line_{};
+  Event event_{};
+  json::Framer framer_;
   net::Loop::Timer timer_ = net::Loop::no_timer;
   bool failing_ = false;
 };
 
 class Discovery : public umpire::NodeSource {
  public:
+  static Watch::Settings watching(unsigned salt);
   // From the version of a list that is known already.
-  Discovery(net::Loop& loop, const std::string& address, std::int64_t version, unsigned salt,
+  Discovery(net::Loop& loop, const std::string& address, std::int64_t version, const Watch::Settings& watch,
             const log::Log& log);
   void start(Heard heard) override;
   void refresh() override;
   void move(const std::string& address) { watch_.move(address); }
 
  private:
+  void told(const list::News& news);
+
+  net::Loop& loop_;
   std::int64_t version_;
+  std::optional<Span> older_from_{};  // since when only versions older than the one held are told
+  Heard heard_{};
   Watch watch_;
 };
 
 class ReleaseApi : public umpire::ReleaseSource {
  public:
   using Flagged = std::function<void(const std::string& node, Span ago)>;
+  static Watch::Settings watching(unsigned salt);
   ReleaseApi(net::Loop& loop, const std::string& address, const RelNews& known, net::Span vote_within,
              unsigned salt, const log::Log& log);
   void start(Heard heard) override;
--- a/src/umpire/router.cpp
+++ b/src/umpire/router.cpp
@@ -17,6 +17,10 @@
 constexpr Span patients_every = 1s;  // how txns did, told to the controller
 constexpr Span index_kept = 60s;     // a node's index is given to another this long after it has left
 constexpr Span list_awaited = 1s;    // from the start; then a saved list must do
+// Nine in ten restarted processes have to be ready within 10 s, whatever is heard by then: one that knows no
+// nodes declines at once, which is harmless.
+constexpr Span ready_by = 8s;
+constexpr Span drain_look_every = 10ms;
 
 // Of a trace: as many digits as tell something.
 std::string figure(double value) {
@@ -37,6 +41,7 @@
 Router::~Router() {
   loop_.cancel(wake_);
   loop_.cancel(tell_);
+  loop_.cancel(drain_look_);
 }
 
 void Router::tell_patients() {
@@ -94,7 +99,9 @@
 
 // Whether there are nodes to route to, by a list that is not a saved one if that can be had soon.
 bool Router::routes() const {
-  return !listed_.empty() && !drained_ && (live_list_ || loop_.now() > started_at_ + list_awaited);
+  const Span now = loop_.now();
+  return !drained_ && ((!listed_.empty() && (live_list_ || now > started_at_ + list_awaited)) ||
+                       now > started_at_ + ready_by);
 }
 
 void Router::take(const http::ExchangePtr& exchange) {
@@ -154,6 +161,7 @@
     at->second.trace->outcome = "left";
   }
   umpire_.txn_left(id);
+  withdraw(id);
   forget(id);
   check_drained();
 }
@@ -341,13 +349,28 @@
   ++peer.out;
   Span within = std::max(Span(1), held.expiry - loop_.now());
   if (decision.span > Span{}) within = std::min(within, decision.span);
-  protocol_.submission(held.request, index, within);
   if (held.trace) trace_submission(held, decision, within);
   auto done = [this, txn = decision.txn, index](http::Ended how, http::Response&& response) {
     ended(txn, index, protocol_.classed(how, response), std::move(response));
   };
-  held.submissions.push_back(
-      {decision.node, peer.build, peer.caller->call(held.request, within, std::move(done)), false});
+  // Worded when it is written: its connection may be long in coming up, and the time goes on.
+  auto word = [this, index](http::Request& request, Span left) {
+    protocol_.submission(request, index, left);
+  };
+  held.submissions.push_back({decision.node, peer.build,
+                              peer.caller->call(held.request, within, std::move(done), std::move(word)),
+                              false});
+}
+
+// Of a txn that is over nothing begins any more: guards against a submission that has waited for its
+// connection and reaches a node for a client that has left, or has its answer.
+void Router::withdraw(int txn) {
+  for (std::size_t i = 0;; ++i) {
+    const auto at = txns_.find(txn);  // it may be forgotten with the last
+    if (at == txns_.end() || i >= at->second.submissions.size()) return;
+    const Out& out = at->second.submissions[i];
+    if (!out.ended && peers_[out.node].caller->recall(out.call)) ended(txn, i, {Outcome::moot}, {});
+  }
 }
 
 // What has not been written yet goes back to the module: it was chosen by what no longer holds.
@@ -390,6 +413,7 @@
     ++counters_.settled;
     counters_.late += loop_.now() - held.exchange->at > params_.txns.products[held.product].sla;
     end_txn(held, protocol_.settled(std::move(response), peer.name, peer.build), "settled", "answered", {});
+    withdraw(txn);
   }
   forget(txn);
   pull();
@@ -441,16 +465,24 @@
 void Router::drain(std::function<void()> done) {
   drained_ = std::move(done);
   server_->drain();
-  log_.info("drains", {{"open", log::text(unanswered_)}});
+  log_.info("drains", {{"open", log::text(unanswered_)}, {"clients", log::text(clients())}});
+  look_drained();
+}
+
+// Clients end by themselves, each when its answer is written or the time for its request is over.
+void Router::look_drained() {
   check_drained();
+  if (drained_) drain_look_ = loop_.in(drain_look_every, [this] { look_drained(); });
 }
 
+// Whoever is still connected may be owed something: an answer that is not written, or one to a request that
+// lies unread or has come in part.
 void Router::check_drained() {
-  if (!drained_ || unanswered_ > 0) return;
+  if (!drained_ || unanswered_ > 0 || server_->clients() > 0) return;
   // Once, and not from inside whoever answered the last.
   auto done = std::make_shared<std::function<void()>>(std::move(drained_));
   drained_ = [] {};
-  loop_.in(20ms, [done] {
+  loop_.in(Span(0), [done] {
     if (*done) (*done)();
   });
 }
--- a/src/umpire/router.h
+++ b/src/umpire/router.h
@@ -98,11 +98,13 @@
   void carry_out(const Decision& decision);
   void submit(const Decision& decision);
   void recall(const std::function<bool(const Out&)>& which);
+  void withdraw(int txn);
   void ended(int txn, std::size_t submission, const Classed& classed, http::Response&& response);
   void end_txn(Held& held, http::Response response, const char* outcome, const std::string& why, Span pause);
   void forget(int txn);
   void left(int txn);
   void check_drained();
+  void look_drained();
   void trace_submission(const Held& held, const Decision& decision, Span within);
   std::string trace_json(const trail::Trace& trace) const;
   void tell_patients();
@@ -128,7 +130,8 @@
   std::size_t unanswered_ = 0;
   int last_txn_ = 0;
   Span wall_start_, started_at_{};
-  net::Loop::Timer wake_ = net::Loop::no_timer, tell_ = net::Loop::no_timer;
+  net::Loop::Timer wake_ = net::Loop::no_timer, tell_ = net::Loop::no_timer,
+                   drain_look_ = net::Loop::no_timer;
   long told_txns_ = 0, told_poorly_ = 0;
   bool pulling_ = false, live_list_ = false;
   std::function<void()> drained_{};
--- a/src/umpire/sources.cpp
+++ b/src/umpire/sources.cpp
@@ -133,20 +133,24 @@
   if (!settings_.token.empty()) request.headers.add("Authorization", "Bearer " + settings_.token);
   follower_.begins(anew);
   stream_.start(
-      request, silent_most, [this](std::string& body) { take(body); },
+      request, {silent_most, silent_most}, [this](std::string& body) { return take(body); },
       [this](int status, const std::string&) { ended(status); });
 }
 
-void WatchReleaseSource::take(std::string& body) {
+bool WatchReleaseSource::take(std::string& body) {
+  bool alive = false;
   for (;;) {
     const auto line = follower_.take(body, loop_.now());
     if (line == releases::Follower::Line::none) break;
+    alive = true;
     if (line == releases::Follower::Line::taken) continue;
     // Told that it can't go on from there, or not understood: all of it again.
     follower_ = {};
     stream_.stop();
-    return ended(line == releases::Follower::Line::begin_anew ? 410 : 0);
+    ended(line == releases::Follower::Line::begin_anew ? 410 : 0);
+    return false;
   }
+  if (!alive) return false;
   if (failing_) log_.info("releases are heard of again", {{"from", stream_.peer().toString()}});
   failing_ = false;
   backoff_.worked();
@@ -156,6 +160,7 @@
     acknowledged_ = news;
     beat();
   }
+  return true;
 }
 
 void WatchReleaseSource::ended(int status) {
--- a/src/umpire/sources.h
+++ b/src/umpire/sources.h
@@ -90,7 +90,7 @@
 
  private:
   void watch();
-  void take(std::string& body);
+  bool take(std::string& body);
   void ended(int status);
   void beat();
   http::Request post(const std::string& target, const std::string& body) const;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -151,7 +151,7 @@
     e->begin_stream({});
     e->write(listed(12, false));
   });
-  platform::Discovery discovery(loop, first.at(), 7, 1, log);
+  platform::Discovery discovery(loop, first.at(), 7, platform::Discovery::watching(1), log);
   std::vector<std::int64_t> versions;
   discovery.start([&](const list::News& news) { versions.push_back(news.version); });
   loop.in(600ms, [&] { discovery.move(second.at()); });
@@ -165,6 +165,87 @@
   EXPECT_EQ(second.asked.at(0), "/discovery/hosts?watch=1&from=9");
 }
 
+// Laid out over many lines, in the smallest pieces, two at a time, with braces in strings; what is older than
+// the list held is not believed, nor is a part.
+TEST(Discovery, takes_whole_lists_however_they_come) {
+  net::Loop loop(net::steady_now());
+  log::Log log("test", "off");
+  std::string indented = with(listed(8, true), ",", ",\r\n    ");
+  indented = with(indented, "\"m\"", "\"}]\\\"{\\\\\"");
+  int turn = 0;
+  Desk desk(loop, [&](const http::ExchangePtr& e) {
+    e->begin_stream({});
+    if (++turn > 1) return;
+    for (const char c : indented) e->write(std::string(1, c));
+    e->write(listed(9, false) + listed(9, false));
+    e->write(listed(10, true) + listed(7, true) + listed(11, false));
+  });
+  platform::Discovery discovery(loop, desk.at(), 7, platform::Discovery::watching(1), log);
+  std::vector<std::int64_t> versions;
+  discovery.start([&](const list::News& news) { versions.push_back(news.version); });
+  loop.in(300ms, [&] { loop.stop(); });
+  loop.run();
+  EXPECT_EQ(versions, (std::vector<std::int64_t>{8, 9, 9, 10}));
+  ASSERT_EQ(desk.asked.size(), 2u);  // anew after the older one
+  EXPECT_EQ(desk.asked[1], "/discovery/hosts?watch=1&from=10");
+}
+
+TEST(Discovery, begun_anew_it_is_believed_in_the_end) {
+  net::Loop loop(net::steady_now());
+  log::Log log("test", "off");
+  Desk desk(loop, [&](const http::ExchangePtr& e) {
+    e->begin_stream({});
+    e->write(listed(2, true));
+  });
+  platform::Discovery discovery(loop, desk.at(), 7, platform::Discovery::watching(1), log);
+  std::vector<std::int64_t> versions;
+  discovery.start([&](const list::News& news) { versions.push_back(news.version); });
+  loop.in(100ms, [&] {
+    EXPECT_TRUE(versions.empty());
+    loop.pass(6s);
+    loop.in(800ms, [&] { loop.stop(); });
+  });
+  loop.run();
+  EXPECT_EQ(versions, std::vector<std::int64_t>{2});
+}
+
+// A watch that trickles an object without its end is silent, and so is a connection that never comes up: the
+// third has the list.
+TEST(Watch, bytes_that_make_no_whole_are_no_sign_of_life) {
+  net::Loop loop(net::steady_now());
+  log::Log log("test", "off");
+  int turn = 0;
+  std::function<void(http::ExchangePtr)> trickle = [&](http::ExchangePtr e) {
+    if (e->write("{")) loop.in(5ms, [&, e] { trickle(e); });
+  };
+  Desk desk(loop, [&](const http::ExchangePtr& e) {
+    if (++turn == 2) return;
+    e->begin_stream({});
+    e->write("\n{\"n\":" + std::to_string(turn) + "}");
+    if (turn == 1) trickle(e);
+  });
+  platform::Watch watch(
+      loop, desk.at(),
+      {.what = "x", .silence = {.first = 100ms, .most = 100ms}, .pause_most = 50ms, .salt = 1}, log);
+  std::vector<int> heard;
+  watch.start([] { return "/"; },
+              [&](const json::Json& object) {
+                heard.push_back(json::whole(object, "n"));
+                if (heard.size() == 2) loop.stop();
+              });
+  loop.in(5s, [&] { loop.stop(); });
+  loop.run();
+  EXPECT_EQ(heard, (std::vector<int>{1, 3}));
+  EXPECT_EQ(turn, 3);
+}
+
+// What a silent watch misses counts as told 6 s after: by then two tries have had their time.
+TEST(Watch, a_silent_discovery_is_asked_anew_in_time) {
+  const platform::Watch::Settings of = platform::Discovery::watching(1);
+  EXPECT_GT(of.silence.most, 2s);  // an empty line is due so often
+  EXPECT_LE(of.silence.most + 2 * (of.silence.first + of.pause_most), 6s);
+}
+
 TEST(ReleaseApi, each_vote_gets_one_answer_that_says_whether_it_may_count) {
   const std::pair<std::string, Outcome> answers[] = {{"200 " + rollout(2, 1, "IN_PROGRESS"), Outcome::ok},
                                                      {"200 {\"Revision\":2,", Outcome::timeout},
@@ -219,6 +300,165 @@
   EXPECT_EQ(flagged, std::vector<std::string>{"s1"});
 }
 
+// A vote's answer that is long on its way, from a stage that is over by then: its cap is not gone back to.
+TEST(ReleaseApi, a_late_answer_does_not_bring_a_stage_back) {
+  net::Loop loop(net::steady_now());
+  log::Log log("test", "off");
+  http::ExchangePtr watching, vote;
+  Desk desk(loop, [&](const http::ExchangePtr& e) {
+    if (e->request.target != "/v1/watch") return void(vote = e);
+    e->begin_stream({});
+    watching = e;
+  });
+  platform::ReleaseApi api(loop, desk.at(), RelNews{2, 0, RelPhase::trial, 0.1, 1s}, 200ms, 1, log);
+  std::vector<std::pair<int, RelPhase>> told;
+  api.start([&](const RelNews& rel) { told.push_back({rel.stage, rel.phase}); });
+  api.vote(2, 0, Verdict::back, [](Outcome) {});
+  loop.in(50ms, [&] {
+    watching->write("{\"type\":\"ROLLOUT\",\"object\":" + rollout(2, 1, "ROLLING_BACK") + "}\n");
+    // Its age was true when it was written.
+    loop.in(50ms, [&] { vote->answer(http::json_answer(200, rollout(2, 0, "IN_PROGRESS"))); });
+  });
+  loop.in(200ms, [&] { loop.stop(); });
+  loop.run();
+  EXPECT_EQ(told, (std::vector<std::pair<int, RelPhase>>{{0, RelPhase::trial}, {1, RelPhase::going_back}}));
+}
+
+// A connection that is long in coming up: the node is told what is left by then. The kernel asks again after
+// a second, when there is room at last.
+TEST(Caller, words_the_time_left_when_it_writes) {
+  net::Loop loop(net::steady_now());
+  tests::ScriptNode node(loop, "stuck");
+  http::CallerSettings settings;
+  settings.connect_within = 3s;
+  http::Caller caller(loop, Poco::Net::SocketAddress("127.0.0.1:" + std::to_string(node.port())), settings);
+  std::optional<Span> left;
+  caller.call(
+      {}, 4s, [](http::Ended, http::Response&&) {},
+      [&](http::Request&, Span then) {
+        left = then;
+        loop.stop();
+      });
+  std::function<void()> make_room = [&] {
+    for (int fd; (fd = ::accept(node.stuck[0], nullptr, nullptr)) >= 0;) node.stuck.push_back(fd);
+    loop.in(10ms, make_room);
+  };
+  loop.in(50ms, [&] {
+    EXPECT_FALSE(left);
+    make_room();
+  });
+  loop.in(3500ms, [&] { loop.stop(); });
+  loop.run();
+  ASSERT_TRUE(left);
+  EXPECT_LT(*left, 4s - 50ms);
+}
+
+// A Server on its loop, and clients that read or don't; each step runs there, then time passes.
+struct Served {
+  net::Loop loop{net::steady_now()};
+  std::vector<http::ExchangePtr> asked{};
+  std::unique_ptr<http::Server> server;
+  std::map<std::string, tests::RawClient> clients{};
+  std::thread thread{};
+  explicit Served(const http::ServerSettings& settings)
+      : server(std::make_unique<http::Server>(loop, settings,
+                                              [this](const http::ExchangePtr& e) { asked.push_back(e); })),
+        thread([this] { loop.run(); }) {}
+  ~Served() {
+    loop.call([this] {
+      clients.clear();
+      server.reset();
+    });
+    loop.quit();
+    thread.join();
+  }
+  void step(const std::function<void()>& what, Span then = 40ms) {
+    loop.call(what);
+    std::this_thread::sleep_for(then);
+  }
+  void send(const std::string& name, const std::string& bytes) {
+    step([&] {
+      tests::RawClient& client = clients[name];
+      if (!client.stream)
+        client.stream = net::Stream::connect(
+            loop, Poco::Net::SocketAddress("127.0.0.1:" + std::to_string(server->port())), client);
+      client.stream->write(bytes);
+    });
+  }
+};
+const std::string get = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+
+// An answer that the client is slow to read is written to its end, though the server takes no more.
+TEST(Server, a_drain_waits_for_answers_to_be_written) {
+  Served on({});
+  on.send("c", get);
+  const std::size_t large = 32 << 20;  // more than the kernel takes
+  on.step([&] {
+    ASSERT_EQ(on.asked.size(), 1u);
+    on.clients["c"].stream->read(false);
+    on.asked[0]->answer(http::text_answer(200, std::string(large, 'x')));
+    on.server->drain();
+  });
+  on.step(
+      [&] {
+        EXPECT_EQ(on.server->clients(), 1u);
+        on.clients["c"].stream->read(true);
+      },
+      1s);
+  on.step([&] {
+    EXPECT_GT(on.clients["c"].got.size(), large);
+    EXPECT_EQ(on.server->clients(), 0u);
+    EXPECT_TRUE(on.clients["c"].closed);
+  });
+}
+
+// What a client has sent behind its last request lies unread at the close: it must not break the answer.
+TEST(Server, a_close_is_no_reset_though_bytes_are_unread) {
+  Served on({});
+  on.send("c", "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n" + std::string(1 << 20, 'x'));
+  on.step([&] {
+    ASSERT_EQ(on.asked.size(), 1u);
+    on.asked[0]->answer(http::text_answer(200, "done"));
+  });
+  on.step([&] {
+    const tests::RawClient& client = on.clients["c"];
+    EXPECT_NE(client.got.find("done"), std::string::npos);
+    ASSERT_TRUE(client.closed);
+    EXPECT_EQ(client.how, net::Closed::by_peer);
+    EXPECT_EQ(on.server->clients(), 0u);
+  });
+}
+
+// A full house: first goes who has had its last answer, then who is idle, then who has asked by half, which
+// is told so; never one with a request open.
+TEST(Server, room_is_made_where_least_is_owed) {
+  http::ServerSettings settings;
+  settings.most_clients = 3;
+  settings.make_room = true;
+  Served on(settings);
+  on.send("open", get);
+  on.send("half", "GET / HT");
+  on.send("idle", "");
+  on.send("lingers", "what is this\r\n");
+  on.step([&] {
+    EXPECT_TRUE(on.clients["idle"].closed);
+    EXPECT_FALSE(on.clients["half"].closed);
+    on.clients["lingers"].stream->read(false);  // does not see the end
+  });
+  on.send("lingers", "\r\n");
+  on.send("more", get);
+  on.step([&] {
+    EXPECT_EQ(on.asked.size(), 2u);
+    EXPECT_EQ(on.server->clients(), 3u);
+    EXPECT_FALSE(on.clients["half"].closed);
+  });
+  on.send("last", "");
+  on.step([&] {
+    EXPECT_EQ(on.clients["half"].got.substr(0, 12), "HTTP/1.1 503");
+    for (const char* name : {"open", "more", "last"}) EXPECT_FALSE(on.clients[name].closed) << name;
+  });
+}
+
 // What the program needs around it: a node, the platform's services, its file; and a client of its own.
 struct Around {
   net::Loop& loop;
--- a/tests/releases_test.cpp
+++ b/tests/releases_test.cpp
@@ -251,10 +251,11 @@
       request.target = path;
       if (!token.empty()) request.headers.add("Authorization", "Bearer " + token);
       at->caller->start(
-          request, 10s,
+          request, {10s, 10s},
           [at](std::string& body) {
             at->got += body;
             body.clear();
+            return true;
           },
           [at](int status, const std::string& body) {
             at->status = status;
--- a/tests/stage.h
+++ b/tests/stage.h
@@ -104,7 +104,7 @@
     at.sin_family = AF_INET;
     at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t length = sizeof at;
-    stuck.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    stuck.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     ::bind(stuck[0], reinterpret_cast<sockaddr*>(&at), length);
     ::listen(stuck[0], 0);
     ::getsockname(stuck[0], reinterpret_cast<sockaddr*>(&at), &length);
@@ -135,11 +135,12 @@
   std::shared_ptr<net::Stream> stream;
   std::string got{};
   bool closed = false;
+  net::Closed how{};
   void on_bytes(net::Stream& s) override {
     got += s.in();
     s.in().clear();
   }
-  void on_closed(net::Stream&, net::Closed) override { closed = true; }
+  void on_closed(net::Stream&, net::Closed by) override { closed = true, how = by; }
   ~RawClient() override { stream->drop(); }
 };
 
@@ -241,8 +242,13 @@
           << router->clients();
       return;
     }
-    if (w[1] == "drained") {
-      EXPECT_TRUE(drained);
+    if (w[1] == "drained" || w[1] == "serving") {
+      EXPECT_EQ(drained, w[1] == "drained");
+      return;
+    }
+    if (w[1] == "status") {  // holds|lacks TEXT
+      const std::string status = router->status();
+      EXPECT_EQ(status.find(w[3]) != std::string::npos, w[2] == "holds") << status;
       return;
     }
     RawClient& client = clients.at(w[1]);
@@ -286,6 +292,8 @@
       connect(w[1]).stream->write(text);
     } else if (w[0] == "leave") {
       clients.at(w[1]).stream->drop();
+    } else if (w[0] == "half-close") {
+      clients.at(w[1]).stream->finish();
     } else if (w[0] == "drain") {
       router->drain([this] { drained = true; });
     } else if (w[0] == "expect") {
