--- a/src/logic.h
+++ b/src/logic.h
@@ -197,6 +197,7 @@
   Samples<char> again_, declined_;
   Samples<int> tenants_;
   Samples<char> slow_;
+  Span felt_at_{};
   double open_ = 1;  // the part of txns that is let in
 };
 
--- a/src/umpire/router.h
+++ b/src/umpire/router.h
@@ -56,6 +56,7 @@
   int port() const { return server_->port(); }
   std::size_t open_txns() const { return unanswered_; }
   std::size_t held() const { return txns_.size(); }
+  std::size_t peers() const { return peers_.size(); }  // places for nodes, those to be used again included
   std::size_t clients() const { return server_ ? server_->clients() : 0; }
   const Counters& counters() const { return counters_; }
   std::string status() const;  // JSON
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -1,5 +1,7 @@
 // Plays tests/platform/*.txt against the router with the platform's protocol; its configuration, discovery
 // and release API against servers of the tests' own; and the process by its signals.
+#include <malloc.h>
+
 #include <csignal>
 
 #include "child.h"
@@ -459,6 +461,130 @@
   });
 }
 
+// Another customer's settings: the same figures under other names.
+std::string renamed(std::string text) {
+  for (auto& [from, to] : {std::pair("\"look\"", "\"browse\""),
+                           {"\"book\"", "\"reserve\""},
+                           {"\"pay\"", "\"settle\""},
+                           {"\"here\"", "\"elsewhere\""}})
+    text = with(text, from, to);
+  return text;
+}
+
+// The way of some txns through a module of its own, whose settings are of one customer; `beside` runs between
+// any two steps.
+std::vector<std::string> way(const std::string& config, const std::function<void()>& beside) {
+  const params::Params params = platform::decoded(config).params;
+  Umpire umpire(7, params.nodes, params.exposure, params.gate, params.txns);
+  std::vector<std::string> decided;
+  Span now = 1s;
+  const auto pull = [&] {
+    while (auto d = umpire.next(now)) {
+      decided.push_back(std::to_string(static_cast<int>(d->action)) + " " + std::to_string(d->txn) + " " +
+                        std::to_string(d->node) + " " + std::to_string(d->span.count()) + d->text);
+      if (d->action == Action::submit)
+        umpire.submission_ended(d->txn, 0, d->txn % 3 == 0 ? Outcome::full : Outcome::ok, d->txn % 3 != 0, {},
+                                now + 5ms);
+    }
+    beside();
+  };
+  std::vector<NodeNews> entries(6);
+  for (int n = 0; n < 6; ++n) entries[n].node = n, entries[n].build = 1, entries[n].size = 1;
+  for (NodeNews& entry : entries)
+    entry.phase = NodePhase::in, entry.order = static_cast<unsigned>(entry.node);
+  umpire.release_news({1, 0, RelPhase::released, 1, Span{}}, now);
+  umpire.list_news(ListNews::whole, entries, now);
+  for (int txn = 1; txn < 200; ++txn, now += 7ms) {
+    umpire.txn_arrived({txn, txn % 3, 0, now + 400ms, 0, "", false}, now);
+    pull();
+  }
+  return decided;
+}
+
+TEST(Customers, names_decide_nothing_and_modules_share_nothing) {
+  const std::vector<std::string> alone = way(config_text(), [] {});
+  EXPECT_GT(alone.size(), 200u);
+  EXPECT_EQ(way(renamed(config_text()), [] {}), alone);
+  int turns = 0;
+  const auto other = [&] {
+    if (++turns % 50 == 0) way(renamed(config_text()), [] {});
+  };
+  EXPECT_EQ(way(config_text(), other), alone);
+}
+
+// One after the other in one process at one address: the second knows nothing of the first's products.
+TEST(Customers, one_follows_another_at_the_same_address) {
+  const int port = tests::port_free();
+  for (const bool second : {false, true}) {
+    const std::string text = with(config_text(), "127.0.0.1:0", "127.0.0.1:" + std::to_string(port));
+    const platform::Config config = platform::decoded(second ? renamed(text) : text);
+    const platform::PlatformProtocol protocol(config.params);
+    tests::Stage stage([&](tests::Stage& on) {
+      return std::make_unique<umpire::Router>(on.loop, platform::router_settings(config), config.params,
+                                              protocol, on.log, on.nodes, on.releases);
+    });
+    const auto step = [&](const tests::Words& words, Span then = 0ms) {
+      stage.loop.call([&] { stage.step(words); });
+      std::this_thread::sleep_for(then);
+    };
+    step({"node", "a", "ok"});
+    const std::string id = "Request-Id: r1", time = "Request-Timeout: 400m";
+    step({"send", "first", "GET", "/look", id, time}, 50ms);
+    step({"send", "second", "GET", "/browse", id, time}, 50ms);
+    step({"expect", "first", "status", second ? "404" : "200"});
+    step({"expect", "second", "status", second ? "200" : "404"});
+  }
+}
+
+// Nodes, builds, ids and connections come and go for hours: what is kept of them levels off.
+TEST(Router, what_is_kept_levels_off) {
+  const platform::Config config = platform::decoded(config_text());
+  const platform::PlatformProtocol protocol(config.params);
+  tests::Stage stage([&](tests::Stage& on) {
+    return std::make_unique<umpire::Router>(on.loop, platform::router_settings(config), config.params,
+                                            protocol, on.log, on.nodes, on.releases);
+  });
+  const auto step = [&](const tests::Words& words) { stage.loop.call([&] { stage.step(words); }); };
+  const auto descriptors = [] {
+    return std::distance(std::filesystem::directory_iterator("/proc/self/fd"), {});
+  };
+  std::size_t memory = 0, peers = 0;
+  long open = 0;
+  const int rounds = 60, settled_in = 20;
+  for (int round = 0; round < rounds; ++round) {
+    const std::string r = std::to_string(round);
+    for (int n = 0; n < 8; ++n)
+      step({"node", "n" + r + "-" + std::to_string(n), "ok", "in", std::to_string(1 + round)});
+    for (int c = 0; c < 20; ++c)
+      step({"send", "c" + std::to_string(c), "POST", "/book", "Request-Id: i" + r + "-" + std::to_string(c),
+            "Idempotency-Key: k" + r + "-" + std::to_string(c), "Request-Timeout: 400m"});
+    std::size_t unanswered = 1;
+    for (int tries = 0; tries < 200 && unanswered > 0; ++tries) {
+      std::this_thread::sleep_for(5ms);
+      stage.loop.call([&] { unanswered = stage.router->open_txns(); });
+    }
+    EXPECT_EQ(unanswered, 0u);
+    for (int n = 0; n < 8; ++n) step({"listed", "n" + r + "-" + std::to_string(n), "out"});
+    stage.loop.call([&] {
+      stage.clients.clear();
+      stage.scripted.clear();
+      stage.loop.pass(61s);
+    });
+    std::this_thread::sleep_for(20ms);
+    stage.loop.call([&] {
+      if (round == settled_in) {
+        memory = ::mallinfo2().uordblks;
+        peers = stage.router->peers();
+        open = descriptors();
+      }
+      if (round + 1 < rounds) return;
+      EXPECT_LE(stage.router->peers(), peers);
+      EXPECT_LE(descriptors(), open);
+      EXPECT_LT(::mallinfo2().uordblks, memory + 64 * 1024);
+    });
+  }
+}
+
 // What the program needs around it: a node, the platform's services, its file; and a client of its own.
 struct Around {
   net::Loop& loop;
