A router that ends with txns open no longer touches what is gone

Router::~Router: members went before the server whose clients' ends call Router::left; seen by reading. The server's connections are cut first.

--- a/src/umpire/router.cpp
+++ b/src/umpire/router.cpp
@@ -42,6 +42,8 @@
   loop_.cancel(wake_);
   loop_.cancel(tell_);
   loop_.cancel(drain_look_);
+  // Clients with a txn open tell of their end: while what that touches is still here.
+  if (server_) server_->cut();
 }
 
 void Router::tell_patients() {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -536,6 +536,35 @@
   }
 }
 
+// It ends while a submission waits for its connection and another for its answer.
+TEST(Router, ends_with_txns_open) {
+  const platform::Config config = platform::decoded(config_text());
+  const platform::PlatformProtocol protocol(config.params);
+  tests::Stage stage([&](tests::Stage& on) {
+    return std::make_unique<umpire::Router>(on.loop, platform::router_settings(config), config.params,
+                                            protocol, on.log, on.nodes, on.releases);
+  });
+  stage.loop.call([&] {
+    stage.step({"node", "a", "silence"});
+    stage.step({"send", "c", "GET", "/look", "Request-Id: r1", "Request-Timeout: 400m"});
+  });
+  std::this_thread::sleep_for(30ms);
+  stage.loop.call([&] {
+    stage.step({"listed", "a", "out"});
+    stage.step({"node", "b", "stuck"});
+    stage.step({"send", "d", "GET", "/look", "Request-Id: r2", "Request-Timeout: 400m"});
+  });
+  std::this_thread::sleep_for(30ms);
+  stage.loop.call([&] {
+    EXPECT_EQ(stage.router->open_txns(), 2u);
+    stage.router.reset();
+  });
+  std::this_thread::sleep_for(30ms);
+  stage.loop.call([&] {
+    for (const char* name : {"c", "d"}) EXPECT_TRUE(stage.clients[name].closed) << name;
+  });
+}
+
 // Nodes, builds, ids and connections come and go for hours: what is kept of them levels off.
 TEST(Router, what_is_kept_levels_off) {
   const platform::Config config = platform::decoded(config_text());
