--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -767,12 +767,13 @@
   if (!ok && !full &&
       (!jam || outcome != Outcome::timeout || 2 * count(slow_) < static_cast<int>(slow_.size())))
     return;
-  // Rises go by the clock: guards against an umpire that lets in little, hears little of it and so stays
-  // shut.
-  const double quiet = std::min(1.0, seconds(now - felt_at_));
+  // Where answers are few it rises by the clock: guards against an umpire that lets in little, hears little
+  // of it and so stays shut.
+  const double pace = nodes_.pace(now), step = 1 / std::max(least_pace, pace);
+  const double rise = pace < least_pace ? std::min(1.0, seconds(now - felt_at_)) : step;
   felt_at_ = now;
-  open_ = jam ? std::max(open_least, open_ * (1 - jam_falls / std::max(least_pace, nodes_.pace(now))))
-              : std::min(1.0, open_ + jam_rises * quiet);
+  open_ =
+      jam ? std::max(open_least, open_ * (1 - jam_falls * step)) : std::min(1.0, open_ + jam_rises * rise);
 }
 
 void Txns::ended(int id, int submission, Outcome outcome, bool settled, Span now) {
