--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -27,15 +27,22 @@
   return text.replace(at, from.size(), to);
 }
 
+// A stage whose router has the platform's protocol and one configuration.
+struct OnPlatform {
+  platform::Config config;
+  platform::PlatformProtocol protocol{config.params};
+  tests::Stage stage{[this](tests::Stage& on) {
+    return std::make_unique<umpire::Router>(on.loop, platform::router_settings(config), config.params,
+                                            protocol, on.log, on.nodes, on.releases);
+  }};
+  explicit OnPlatform(const std::string& text) : config(platform::decoded(text)) {}
+};
+
 class PlatformPlay : public testing::TestWithParam<std::string> {};
 
 TEST_P(PlatformPlay, goes_as_written) {
-  const platform::Config config = platform::decoded(config_text());
-  const platform::PlatformProtocol protocol(config.params);
-  tests::Stage stage([&](tests::Stage& on) {
-    return std::make_unique<umpire::Router>(on.loop, platform::router_settings(config), config.params,
-                                            protocol, on.log, on.nodes, on.releases);
-  });
+  OnPlatform on(config_text());
+  tests::Stage& stage = on.stage;
   tests::play_on(stage, GetParam());
 }
 
@@ -517,12 +524,8 @@
   const int port = tests::port_free();
   for (const bool second : {false, true}) {
     const std::string text = with(config_text(), "127.0.0.1:0", "127.0.0.1:" + std::to_string(port));
-    const platform::Config config = platform::decoded(second ? renamed(text) : text);
-    const platform::PlatformProtocol protocol(config.params);
-    tests::Stage stage([&](tests::Stage& on) {
-      return std::make_unique<umpire::Router>(on.loop, platform::router_settings(config), config.params,
-                                              protocol, on.log, on.nodes, on.releases);
-    });
+    OnPlatform on(second ? renamed(text) : text);
+    tests::Stage& stage = on.stage;
     const auto step = [&](const tests::Words& words, Span then = 0ms) {
       stage.loop.call([&] { stage.step(words); });
       std::this_thread::sleep_for(then);
@@ -538,12 +541,8 @@
 
 // It ends while a submission waits for its connection and another for its answer.
 TEST(Router, ends_with_txns_open) {
-  const platform::Config config = platform::decoded(config_text());
-  const platform::PlatformProtocol protocol(config.params);
-  tests::Stage stage([&](tests::Stage& on) {
-    return std::make_unique<umpire::Router>(on.loop, platform::router_settings(config), config.params,
-                                            protocol, on.log, on.nodes, on.releases);
-  });
+  OnPlatform on(config_text());
+  tests::Stage& stage = on.stage;
   stage.loop.call([&] {
     stage.step({"node", "a", "silence"});
     stage.step({"send", "c", "GET", "/look", "Request-Id: r1", "Request-Timeout: 400m"});
@@ -567,12 +566,8 @@
 
 // Nodes, builds, ids and connections come and go for hours: what is kept of them levels off.
 TEST(Router, what_is_kept_levels_off) {
-  const platform::Config config = platform::decoded(config_text());
-  const platform::PlatformProtocol protocol(config.params);
-  tests::Stage stage([&](tests::Stage& on) {
-    return std::make_unique<umpire::Router>(on.loop, platform::router_settings(config), config.params,
-                                            protocol, on.log, on.nodes, on.releases);
-  });
+  OnPlatform on(config_text());
+  tests::Stage& stage = on.stage;
   const auto step = [&](const tests::Words& words) { stage.loop.call([&] { stage.step(words); }); };
   const auto descriptors = [] {
     return std::distance(std::filesystem::directory_iterator("/proc/self/fd"), {});
