Migration target: each failed call is named by its own cause again

Cause: the texts were found by the place of the result in its enumeration; `not_sent` came in between and each text behind it moved by one.

The ten other tables of words by enumerator were compared one by one: none is shifted.

--- a/src/migration/target.cpp
+++ b/src/migration/target.cpp
@@ -36,8 +36,7 @@
   return request;
 }
 
-// From connection_lost on each text is that of the result before it, as in all earlier versions:
-// journals and the status have them so, and a change of behaviour waits (KNOWN-RED.txt).
+// Without a default, so that a result that is not named here does not compile.
 const char* call_failure_text(http::CallResult result) {
   switch (result) {
     case http::CallResult::answered:
@@ -45,16 +44,17 @@
     case http::CallResult::connect_failed:
       return "not reached";
     case http::CallResult::not_sent:
-      return "connection broke";
+      return "no connection free";
     case http::CallResult::connection_lost:
-      return "garbled answer";
+      return "connection broke";
     case http::CallResult::malformed:
-      return "no answer in time";
+      return "garbled answer";
     case http::CallResult::timed_out:
+      return "no answer in time";
     case http::CallResult::cancelled:
-      break;
+      return "called off";
   }
-  return "called off";
+  return "unknown";
 }
 
 std::string failure_text(http::CallResult result, const http::Response& response) {
--- /dev/null
+++ b/tests/migration_target_test.cpp
@@ -0,0 +1,64 @@
+/// The client of the migration target against an endpoint that fails in each way a call can fail.
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "child_process.h"
+#include "migration/target.h"
+#include "scripted_endpoint.h"
+
+namespace robinhoist::migration {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int build = 2;
+
+class MigrationTargetCalls : public testing::Test {
+ protected:
+  static Step step() {
+    Step step;
+    step.id = "s";
+    step.apply_statement = "SELECT 1";
+    step.timeout = 150ms;
+    return step;
+  }
+
+  /// Runs one step at the target of this port. Nothing if its handler did not run.
+  static std::optional<RunOutcome> run_step(net::Loop& loop, int port) {
+    Target target(loop, "127.0.0.1:" + std::to_string(port));
+    std::optional<RunOutcome> result;
+    target.run(build, step(), Direction::apply, 0, 1, [&](const RunOutcome& outcome) {
+      result = outcome;
+      loop.stop();
+    });
+    loop.in(3s, [&] { loop.stop(); });
+    loop.run();
+    return result;
+  }
+
+  static std::string reason_at_port(int port) {
+    net::Loop loop(net::steady_now());
+    return run_step(loop, port).value_or(RunOutcome{}).reason;
+  }
+
+  static std::string reason_of(const std::string& behaviour) {
+    net::Loop loop(net::steady_now());
+    const tests::ScriptedEndpoint endpoint(loop, behaviour);
+    return run_step(loop, endpoint.port()).value_or(RunOutcome{}).reason;
+  }
+};
+
+// Guards against texts shifted by one result: the operator reads them to decide on a retry.
+TEST_F(MigrationTargetCalls, EachFailureIsNamedByItsCause) {
+  EXPECT_EQ(reason_at_port(tests::free_port()), "not reached");
+  EXPECT_EQ(reason_of("close"), "connection broke");
+  EXPECT_EQ(reason_of("reset"), "connection broke");
+  EXPECT_EQ(reason_of("garbage"), "garbled answer");
+  EXPECT_EQ(reason_of("silence"), "no answer in time");
+}
+
+}  // namespace
+}  // namespace robinhoist::migration
