Signals are read before the sockets of a turn: no response after SIGTERM keeps its connection

What callers saw: once, on a busy machine, a response after SIGTERM lacked `Connection: close`; the client went on with a connection that was then closed, and had to send a crossing request once more.

Cause: each turn of the loop read one signal, in the reactor's order of addresses. A SIGTERM behind a SIGHUP waited a turn while the response that lay ready was written.

Why it holds: Loop::before_each_turn runs ahead of every socket of a turn, and Signals reads there until none is left.

--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -112,6 +112,11 @@
   return *position;
 }
 
+void Loop::onBusy() {
+  if (before_turn_)
+    run_task(before_turn_);
+}
+
 void Loop::post(Task task) {
   {
     const std::lock_guard lock(posted_mutex_);
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -64,6 +64,11 @@
   /// thread but the loop's own.
   void call(const Task& task);
 
+  /// Runs a task at the start of each turn in which anything is ready, before the handlers of all
+  /// sockets; the reactor has no other order among those. It replaces the task of an earlier call;
+  /// an empty one takes it back.
+  void before_each_turn(Task task) { before_turn_ = std::move(task); }
+
   /// For tests of long lives: as if so much time had passed. What falls due meanwhile runs next.
   void advance(Duration time);
   /// For measurements: how late timers ran, in microseconds, as a quantile (0 to 1) of the last few
@@ -72,6 +77,9 @@
   /// How many timers are set.
   std::size_t timers() const { return tasks_.size(); }
 
+ protected:
+  void onBusy() override;
+
  private:
   void run_due_timers();
   void run_posted_tasks();
@@ -84,6 +92,7 @@
   std::map<Timer, Task> tasks_{};
   std::uint64_t next_timer_id_ = 1;
   TimePoint armed_for_{};  // what the timerfd is set to; zero: not set
+  Task before_turn_{};
   std::mutex posted_mutex_{};
   std::vector<Task> posted_{};
   std::vector<std::int32_t> lateness_{};
--- a/src/net/signals.cpp
+++ b/src/net/signals.cpp
@@ -8,9 +8,9 @@
 #include <utility>
 
 namespace robinhoist::net {
+namespace {
 
-Signals::Signals(Loop& loop, std::initializer_list<int> signals, std::function<void(int)> on_signal)
-    : on_signal_(std::move(on_signal)) {
+int blocked_signals_fd(std::initializer_list<int> signals) {
   sigset_t set;
   sigemptyset(&set);
   for (const int signal : signals)
@@ -19,11 +19,26 @@
   const int fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
   if (fd < 0)
     throw std::runtime_error("no file descriptor left for signals");
-  watcher_ = std::make_unique<FdWatcher>(loop, fd, [this, fd] {
-    signalfd_siginfo info{};
-    if (::read(fd, &info, sizeof info) == sizeof info)
-      on_signal_(static_cast<int>(info.ssi_signo));
-  });
+  return fd;
+}
+
+}  // namespace
+
+Signals::Signals(Loop& loop, std::initializer_list<int> signals, std::function<void(int)> on_signal)
+    : loop_(loop), fd_(blocked_signals_fd(signals)), on_signal_(std::move(on_signal)) {
+  // The watcher wakes the loop; the signals are read at the start of the turn.
+  watcher_ = std::make_unique<FdWatcher>(loop, fd_, [this] { read_pending(); });
+  loop_.before_each_turn([this] { read_pending(); });
+}
+
+Signals::~Signals() {
+  loop_.before_each_turn({});
+}
+
+void Signals::read_pending() {
+  signalfd_siginfo info{};
+  while (::read(fd_, &info, sizeof info) == sizeof info)
+    on_signal_(static_cast<int>(info.ssi_signo));
 }
 
 }  // namespace robinhoist::net
--- a/tests/platform_process_test.cpp
+++ b/tests/platform_process_test.cpp
@@ -7,9 +7,12 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
+#include <functional>
 #include <memory>
 
 #include "child_process.h"
+#include "http/connection_pool.h"
+#include "http/status.h"
 #include "platform_fixture.h"
 #include "raw_client.h"
 
@@ -53,6 +56,19 @@
     exchange->write(replace_once(endpoint_list(8, true), "127.0.0.1:9", endpoint_.address()));
   }
 
+  // Runs a task once the program says that it is ready.
+  void when_ready(std::function<void()> task) {
+    http::Request request;
+    request.target = "/up";
+    readiness_.call(
+        request, 100ms, [this, task](http::CallResult result, const http::Response& response) {
+          if (result == http::CallResult::answered && response.status == http::status_ok)
+            task();
+          else
+            loop_.in(10ms, [this, task] { when_ready(task); });
+        });
+  }
+
   void run_loop_for(Duration time) {
     loop_.in(time, [this] { loop_.stop(); });
     loop_.run();
@@ -69,6 +85,8 @@
                             [this](const http::ExchangePtr& exchange) { serve_watches(exchange); }};
   RawClient client_{};
   const int port_ = free_port();
+  http::ConnectionPool readiness_{
+      loop_, Poco::Net::SocketAddress("127.0.0.1:" + std::to_string(port_)), {}};
   const std::string config_file_ =
       testing::TempDir() + "platform-" + std::to_string(::getpid()) + ".json";
 };
@@ -104,6 +122,27 @@
   EXPECT_EQ(moved.targets.size(), 2u);  // both watches, once
 }
 
+// Guards against a response that leaves without `Connection: close` because SIGTERM, which was
+// there before it, waited behind a SIGHUP. The program stands still until all have come.
+TEST_F(PlatformProcess, signals_that_come_together_count_before_a_response_behind_them) {
+  response_delay_ = 300ms;
+  ChildProcess proxy({"platform", "--config", config_file_}, "/dev/null");
+  when_ready([&] {
+    send("POST /pay", "Content-Length: 0\r\n");
+    loop_.in(100ms, [&] { ::kill(proxy.pid, SIGSTOP); });
+    loop_.in(130ms, [&] {
+      ::kill(proxy.pid, SIGHUP);
+      ::kill(proxy.pid, SIGTERM);
+    });
+    loop_.in(350ms, [&] { ::kill(proxy.pid, SIGCONT); });
+    loop_.in(1500ms, [&] { loop_.stop(); });
+  });
+  run_loop_for(10s);
+  EXPECT_EQ(client_.received.substr(0, 12), "HTTP/1.1 200") << client_.received;
+  EXPECT_THAT(client_.received, testing::HasSubstr("Connection: close"));
+  EXPECT_EQ(proxy.end(SIGKILL), 0);
+}
+
 double cpu_seconds(const rusage& usage) {
   constexpr double seconds_per_microsecond = 1e-6;
   const auto seconds = static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec);
