Migration: an attempt that did not run no longer hides an earlier one that may have

What callers saw: a step whose answer was lost, then an attempt that did not reach the target: the step read 'not applied'; a rollback left what it may have made in the database, and the plan's text of it could be edited.

--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -2,6 +2,7 @@
 
 #include <sqlite3.h>
 
+#include <algorithm>
 #include <chrono>
 
 #include "journal/schema.h"
@@ -46,6 +47,40 @@
   return entries;
 }
 
+/// What the entries of a step tell of its being applied.
+struct AppliedStep {
+  std::string digest{};         ///< Of the last attempt to apply it; empty: there was none.
+  int unresolved_attempts = 0;  ///< Of those that nothing has told of whether they ran.
+};
+
+/// Returns whether nothing of the step is applied any more.
+bool note_entry(AppliedStep& step, const Entry& entry) {
+  const bool is_apply = entry.direction == "apply";
+  if (entry.what == entry_kind::intent) {
+    if (is_apply) {
+      step.digest = entry.digest;
+      ++step.unresolved_attempts;
+    }
+    return false;
+  }
+  if (entry.what == entry_kind::probe_result) {
+    if (entry.outcome != "unknown")
+      step.unresolved_attempts = 0;
+    return false;
+  }
+  if (entry.what != entry_kind::run_result)
+    return false;
+  if (!is_apply)
+    return entry.outcome == "done";
+  if (entry.outcome == "done" || entry.outcome == "more")
+    step.unresolved_attempts = 0;
+  if (entry.outcome != "not-run")
+    return false;
+  // It speaks of the last attempt alone.
+  step.unresolved_attempts = std::max(0, step.unresolved_attempts - 1);
+  return step.unresolved_attempts == 0 && entry.after == 0;
+}
+
 }  // namespace
 
 Journal::Journal(const std::string& file) {
@@ -105,22 +140,17 @@
 }
 
 std::map<std::string, std::string> Journal::applied_digests() const {
-  std::map<std::string, std::string> digests;
-  Query query(database_,
-              "SELECT build, step, digest, what, direction, outcome, after FROM entries WHERE what "
-              "IN ('intent', 'ended') ORDER BY id");
-  while (query.next_row()) {
-    const std::string key = query.text(0) + "/" + query.text(1);
-    const bool is_intent = query.text(3) == entry_kind::intent;
-    const bool is_apply = query.text(4) == "apply";
-    const std::string outcome = query.text(5);
-    const std::int64_t cursor = query.integer(6);
-    if (is_intent && is_apply)
-      digests[key] = query.text(2);
-    const bool nothing_applied = is_apply ? outcome == "not-run" && cursor == 0 : outcome == "done";
-    if (!is_intent && nothing_applied)
-      digests.erase(key);
+  std::map<std::string, AppliedStep> steps;
+  Query query(database_, (std::string(select_entries) + "ORDER BY id").c_str());
+  for (const Entry& entry : read_entries(query)) {
+    const std::string key = std::to_string(entry.build) + "/" + entry.step;
+    if (note_entry(steps[key], entry))
+      steps.erase(key);
   }
+  std::map<std::string, std::string> digests;
+  for (const auto& [key, step] : steps)
+    if (!step.digest.empty())
+      digests[key] = step.digest;
   return digests;
 }
 
--- a/src/migration/plan_state_machine.cpp
+++ b/src/migration/plan_state_machine.cpp
@@ -21,6 +21,10 @@
   return !other || time < *other;
 }
 
+bool is_unresolved(StepState state) {
+  return state == StepState::maybe_applied || state == StepState::maybe_rolled_back;
+}
+
 }  // namespace
 
 PlanStateMachine::PlanStateMachine(Plan plan)
@@ -71,7 +75,8 @@
 
 std::optional<Action> PlanStateMachine::start_run(int index, Direction direction) {
   busy_ = true;
-  const Progress& progress = progress_[index];
+  Progress& progress = progress_[index];
+  progress.earlier_attempt_unresolved = is_unresolved(progress.state);
   const bool rolls_back_all = direction == Direction::rollback && progress.fully_applied &&
                               plan_.steps[index].rollback_in_batches;
   return Action{.kind = ActionKind::run,
@@ -244,6 +249,7 @@
 
 void PlanStateMachine::replay_intent(int index, Direction direction) {
   Progress& progress = progress_[index];
+  progress.earlier_attempt_unresolved = is_unresolved(progress.state);
   progress.state =
       direction == Direction::apply ? StepState::maybe_applied : StepState::maybe_rolled_back;
   progress.verified = false;
@@ -267,6 +273,11 @@
       break;
     case StepResult::not_run:
     case StepResult::fenced: {
+      // It speaks of the last attempt alone.
+      if (progress.earlier_attempt_unresolved) {
+        progress.state = is_apply ? StepState::maybe_applied : StepState::maybe_rolled_back;
+        break;
+      }
       // A rollback that changed nothing leaves what was there: the whole step, or those batches
       // that had run when the release rolled back.
       const bool stays_applied = !is_apply && progress.fully_applied;
--- a/src/migration/plan_state_machine.h
+++ b/src/migration/plan_state_machine.h
@@ -73,7 +73,8 @@
   bool blocked = false;        ///< It waits for the operator.
   bool skipped = false;        ///< The operator took it as done.
   bool undecidable = false;    ///< Nothing can tell whether it has run.
-  int failures = 0;            ///< In a row.
+  bool earlier_attempt_unresolved = false;  ///< One before the last may have run, too.
+  int failures = 0;                         ///< In a row.
   TimePoint retry_at{};
   std::int64_t cursor = 0;   ///< Data steps: the last key of the batches that are done.
   std::int64_t max_key = 0;  ///< Data steps: the largest key of the table; 0 when not known.
--- a/tests/compatibility_test.cpp
+++ b/tests/compatibility_test.cpp
@@ -114,6 +114,22 @@
   EXPECT_NE(steps.find("drop-chair           contract   not applied"), std::string::npos) << steps;
 }
 
+// Guards against a journal of before whose texts, shifted then, would be read as results.
+TEST_F(Compatibility, StepOfAJournalWithShiftedTextsGoesOnWhereItStood) {
+  copy_fixture("failed-step.journal");
+  const int port = tests::free_port();
+  const int no_target = tests::free_port();
+  const auto controller =
+      start("controller", "(controller (listen " + address(port) +
+                              ") (places 4) (build 1) (journal \"" + path("failed-step.journal") +
+                              "\") (steps (target " + address(no_target) + ") (lease 5s)))");
+  const std::string steps = ask_until(address(port) + "/v1/steps", "not reached");
+  EXPECT_NE(steps.find("\"state\":\"may be applied\""), std::string::npos) << steps;
+  const std::string journal = content_of(path("failed-step.journal"));
+  for (const char* text : {"garbled answer", "no answer in time", "called off"})
+    EXPECT_NE(journal.find(text), std::string::npos) << text;
+}
+
 TEST_F(Compatibility, CreationIsNotRepeatedForAKeyOfTheJournal) {
   copy_fixture("controller.journal");
   const int port = tests::free_port();
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -51,6 +51,33 @@
   }
 }
 
+Entry apply_entry(const char* what, const char* outcome = "") {
+  Entry entry;
+  entry.build = 2;
+  entry.step = "s";
+  entry.what = what;
+  entry.direction = "apply";
+  entry.outcome = outcome;
+  entry.digest = "d";
+  return entry;
+}
+
+// Guards against a step that may be edited although an attempt before the last may have run.
+TEST_F(JournalTest, AnAttemptThatDidNotRunSaysNothingOfTheOneBefore) {
+  const std::map<std::string, std::string> kept = {{"2/s", "d"}};
+  Journal journal(file_);
+  journal.append(apply_entry(entry_kind::intent));
+  journal.append(apply_entry(entry_kind::run_result, "unknown"));
+  journal.append(apply_entry(entry_kind::intent));
+  journal.append(apply_entry(entry_kind::run_result, "not-run"));
+  EXPECT_EQ(journal.applied_digests(), kept);
+  journal.append(apply_entry(entry_kind::probe_result, "no"));
+  journal.append(apply_entry(entry_kind::intent));
+  EXPECT_EQ(journal.applied_digests(), kept);
+  journal.append(apply_entry(entry_kind::run_result, "not-run"));
+  EXPECT_TRUE(journal.applied_digests().empty());
+}
+
 TEST_F(JournalTest, RefusesFilesThatAreNoJournal) {
   std::ofstream(file_) << std::string(5000, 'x');
   expect_open_fails(file_, "not a database");
--- a/tests/migration_state_space_test.cpp
+++ b/tests/migration_state_space_test.cpp
@@ -55,7 +55,8 @@
       key += std::to_string(static_cast<int>(progress.state)) +
              (progress.fully_applied ? "w" : "") + (progress.verified ? "v" : "") +
              (progress.blocked ? "s" : "") + (progress.undecidable ? "a" : "") +
-             (progress.skipped ? "k" : "") + std::to_string(progress.failures) + ",";
+             (progress.skipped ? "k" : "") + (progress.earlier_attempt_unresolved ? "e" : "") +
+             std::to_string(progress.failures) + ",";
     return key;
   }
 };
@@ -212,10 +213,20 @@
       is_blocked |= progress.blocked;
     if (!state.machine.is_complete() && !is_blocked)
       fail("nothing to do, and not settled");
+    if (state.machine.is_complete() && state.release.rolled_back)
+      check_rolled_back(state);
     for (std::size_t i = 0; is_blocked && i < plan_.steps.size(); ++i)
       retry_by_operator(state, static_cast<int>(i));
   }
 
+  /// Nothing of a release that was rolled back is left, unless its plan keeps it.
+  void check_rolled_back(const State& state) {
+    for (std::size_t i = 0; i < plan_.steps.size(); ++i)
+      if (plan_.steps[i].rollback_with_release && state.is_applied[i] &&
+          !state.machine.progress()[i].skipped)
+        fail(plan_.steps[i].id + " is left of a release that was rolled back");
+  }
+
   /// An operator retries a step only after making sure that it is not applied. The command is not
   /// in the journal: after a crash it is asked for again.
   void retry_by_operator(State state, int index) {
@@ -277,7 +288,12 @@
       (step a (kind schema) (phase expand) (apply "A") (on-back keep) (transactional no) (idempotent yes) (retry (tries 2)))
       (step b (kind schema) (phase expand) (apply "B") (undo "UB") (on-back undo) (transactional no) (retry (tries 2)))
       (step c (kind schema) (phase migrate) (before-wave 2) (apply "C") (undo "UC") (on-back undo) (check "CC")
-              (retry (tries 2)))))"};
+              (retry (tries 2)))))",
+    R"((plan (release 2)
+      (step a (kind schema) (phase expand) (apply "A") (undo "UA") (on-back undo) (transactional no) (idempotent yes)
+              (retry (tries 2)))
+      (step b (kind schema) (phase migrate) (before-wave 1) (apply "B") (undo "UB") (on-back undo) (transactional no)
+              (idempotent yes) (retry (tries 2)))))"};
 
 TEST(PlanStateSpace, HoldsItsInvariantsInEveryState) {
   for (const char* text : plans) {
