Migration target: a step for which no connection was free counts as not run

What callers saw: while calls that hang held all four connections, a step that was due ended as 'unknown', and one that must not run twice waited for the operator although nothing had been sent.

Cause: run_outcome knew only connect_failed as proof; not_sent fell among the results that may have run. Evidence: MigrationTargetCalls.AStepForWhichNoConnectionWasFreeHasNotRun failed before (unknown in place of not_run) and passes now. Why it holds: http::proves_not_sent names the results in one place; target, votes of both hosts and the load generator's clients ask it.

--- a/src/day/clients.cpp
+++ b/src/day/clients.cpp
@@ -124,7 +124,7 @@
     return;
   load::End end = load::End::broken;
   const std::string_view said = response.headers.get("Robinhoist-Outcome");
-  if (how == http::CallResult::connect_failed)
+  if (http::proves_not_sent(how))
     end = load::End::unreached;
   if (how == http::CallResult::timed_out)
     end = load::End::timed_out;
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -27,6 +27,11 @@
   cancelled
 };
 
+/// Whether the peer can't have acted on a call that ended so.
+inline bool proves_not_sent(CallResult result) {
+  return result == CallResult::connect_failed || result == CallResult::not_sent;
+}
+
 struct ConnectionPoolSettings {
   std::size_t max_connections = 64;
   Duration connect_timeout = std::chrono::milliseconds(250);
--- a/src/migration/target.cpp
+++ b/src/migration/target.cpp
@@ -94,7 +94,7 @@
 
 RunOutcome run_outcome(http::CallResult result, const http::Response& response) {
   const std::string reason = failure_text(result, response);
-  if (result == http::CallResult::connect_failed)
+  if (http::proves_not_sent(result))
     return {.result = StepResult::not_run, .reason = reason};
   if (result != http::CallResult::answered)
     return {.result = StepResult::unknown, .reason = reason};
--- a/src/platform/release_api.cpp
+++ b/src/platform/release_api.cpp
@@ -55,7 +55,7 @@
 }
 
 Outcome vote_call_outcome(http::CallResult how, const http::Response& response) {
-  if (how == http::CallResult::connect_failed || how == http::CallResult::not_sent)
+  if (http::proves_not_sent(how))
     return Outcome::connect_failure;
   if (how != http::CallResult::answered)
     return Outcome::timeout;
--- a/src/proxy/watch_release_source.cpp
+++ b/src/proxy/watch_release_source.cpp
@@ -40,7 +40,7 @@
 }
 
 Outcome vote_call_outcome(http::CallResult how, const http::Response& response) {
-  if (how == http::CallResult::connect_failed)
+  if (http::proves_not_sent(how))
     return Outcome::connect_failure;
   if (how == http::CallResult::timed_out)
     return Outcome::timeout;
--- a/tests/migration_target_test.cpp
+++ b/tests/migration_target_test.cpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "child_process.h"
 #include "migration/target.h"
@@ -60,5 +61,28 @@
   EXPECT_EQ(reason_of("silence"), "no answer in time");
 }
 
+// Guards against a step that waits for the operator although it was never sent: all connections to
+// the target were busy.
+TEST_F(MigrationTargetCalls, AStepForWhichNoConnectionWasFreeHasNotRun) {
+  constexpr int more_than_connections = 5;
+  net::Loop loop(net::steady_now());
+  const tests::ScriptedEndpoint endpoint(loop, "silence");
+  Target target(loop, "127.0.0.1:" + std::to_string(endpoint.port()));
+  std::vector<RunOutcome> outcomes;
+  for (int i = 0; i < more_than_connections; ++i)
+    target.run(build, step(), Direction::apply, 0, 1, [&](const RunOutcome& outcome) {
+      outcomes.push_back(outcome);
+      if (outcomes.size() == more_than_connections)
+        loop.stop();
+    });
+  loop.in(3s, [&] { loop.stop(); });
+  loop.run();
+  ASSERT_EQ(outcomes.size(), more_than_connections);
+  EXPECT_EQ(outcomes.front().result, StepResult::not_run);
+  EXPECT_EQ(outcomes.front().reason, "no connection free");
+  EXPECT_EQ(outcomes.back().result, StepResult::unknown);
+  EXPECT_EQ(endpoint.requests(), more_than_connections - 1);
+}
+
 }  // namespace
 }  // namespace robinhoist::migration
