--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -83,7 +83,12 @@
 
 }  // namespace
 
-Journal::Journal(const std::string& file) {
+JournalError unreadable_entry(const Entry& entry, const char* field, const std::string& word) {
+  return JournalError("entries, row " + std::to_string(entry.id) + ": " + field + " '" + word +
+                      "' is not known to this version");
+}
+
+Journal::Journal(const std::string& file) : file_(file) {
   const int flags = SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE;
   if (sqlite3_open_v2(file.c_str(), &database_, flags, nullptr) != SQLITE_OK) {
     const std::string reason = database_ ? sqlite3_errmsg(database_) : "out of memory";
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -45,6 +45,9 @@
   std::string why{};
 };
 
+/// For an entry with a word that is not known: names its row, the field and the word.
+JournalError unreadable_entry(const Entry& entry, const char* field, const std::string& word);
+
 /// A change of one of the API's objects. The body before it is kept for watches with a selector.
 struct ObjectChange {
   std::int64_t version = 0;
@@ -77,6 +80,8 @@
   Journal(const Journal&) = delete;
   Journal& operator=(const Journal&) = delete;
 
+  const std::string& file() const { return file_; }
+
   void append(const Entry& entry);
   /// The entries of a build, oldest first.
   std::vector<Entry> entries(int build) const;
@@ -124,6 +129,7 @@
   void execute(const std::string& sql) const;
   void write_change(const ObjectChange& change);
 
+  std::string file_;
   sqlite3* database_ = nullptr;
 };
 
--- a/src/migration/runner.cpp
+++ b/src/migration/runner.cpp
@@ -54,8 +54,12 @@
 
 std::unique_ptr<Runner::PlanRun> Runner::rebuild(const Plan& plan) const {
   auto run = std::make_unique<PlanRun>(PlanRun{PlanStateMachine(plan)});
-  for (const journal::Entry& entry : journal_.entries(plan.build))
-    replay(run->machine, entry);
+  try {
+    for (const journal::Entry& entry : journal_.entries(plan.build))
+      replay(run->machine, entry);
+  } catch (const journal::JournalError& error) {
+    throw journal::JournalError(journal_.file() + ": " + error.what());
+  }
   run->machine.set_lease_held(lease_.is_held());
   return run;
 }
--- a/src/migration/step_journal.cpp
+++ b/src/migration/step_journal.cpp
@@ -1,27 +1,37 @@
 #include "migration/step_journal.h"
 
+#include <initializer_list>
 #include <utility>
 
 namespace robinhoist::migration {
 namespace {
 
+// The enumerator whose name stands in a field of an entry. Throws journal::JournalError with the
+// row and the field if it is none of these.
+template <class Enumerator>
+Enumerator enumerator_named(const std::string& name, std::initializer_list<Enumerator> known,
+                            const journal::Entry& entry, const char* field) {
+  for (const Enumerator each : known)
+    if (name == to_string(each))
+      return each;
+  throw journal::unreadable_entry(entry, field, name);
+}
+
 Direction direction_of(const journal::Entry& entry) {
-  const bool is_rollback = entry.direction == to_string(Direction::rollback);
-  return is_rollback ? Direction::rollback : Direction::apply;
+  return enumerator_named(entry.direction, {Direction::apply, Direction::rollback}, entry,
+                          "direction");
 }
 
 ProbeResult probe_result_of(const journal::Entry& entry) {
-  for (ProbeResult result : {ProbeResult::yes, ProbeResult::no})
-    if (entry.outcome == to_string(result))
-      return result;
-  return ProbeResult::unknown;
+  return enumerator_named(entry.outcome, {ProbeResult::yes, ProbeResult::no, ProbeResult::unknown},
+                          entry, "outcome");
 }
 
-void replay_run_result(PlanStateMachine& machine, int step, const journal::Entry& entry) {
-  for (StepResult result : {StepResult::done, StepResult::more, StepResult::not_run,
-                            StepResult::unknown, StepResult::fenced})
-    if (entry.outcome == to_string(result))
-      machine.replay_run_result(step, direction_of(entry), result, entry.after);
+StepResult run_result_of(const journal::Entry& entry) {
+  return enumerator_named(entry.outcome,
+                          {StepResult::done, StepResult::more, StepResult::not_run,
+                           StepResult::unknown, StepResult::fenced},
+                          entry, "outcome");
 }
 
 }  // namespace
@@ -105,8 +115,10 @@
     machine.replay_skip(step);
   else if (entry.what == journal::entry_kind::probe_result)
     machine.replay_probe_result(step, probe_result_of(entry), entry.after);
+  else if (entry.what == journal::entry_kind::run_result)
+    machine.replay_run_result(step, direction_of(entry), run_result_of(entry), entry.after);
   else
-    replay_run_result(machine, step, entry);
+    throw journal::unreadable_entry(entry, "what", entry.what);
 }
 
 }  // namespace robinhoist::migration
--- a/src/migration/step_journal.h
+++ b/src/migration/step_journal.h
@@ -47,7 +47,7 @@
 };
 
 /// Applies one entry of the journal to the state of its plan. Entries of steps that the plan does
-/// not have are ignored.
+/// not have are ignored. Throws journal::JournalError, with the row, for one that makes no sense.
 void replay(PlanStateMachine& machine, const journal::Entry& entry);
 
 }  // namespace robinhoist::migration
