--- a/tests/platform_process_test.cpp
+++ b/tests/platform_process_test.cpp
@@ -57,7 +57,7 @@
   }
 
   // Runs a task once the program says that it is ready.
-  void when_ready(std::function<void()> task) {
+  void when_ready(const std::function<void()>& task) {
     http::Request request;
     request.target = "/up";
     readiness_.call(
--- /dev/null
+++ b/tests/soak/connection.cpp
@@ -0,0 +1,107 @@
+#include "connection.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <linux/sockios.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <cstdint>
+#include <utility>
+
+namespace robinhoist::soak {
+namespace {
+
+constexpr std::size_t read_chunk_bytes = std::size_t{64} * 1024;
+
+int connect_to(int port) {
+  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(static_cast<std::uint16_t>(port));
+  // On loopback this does not wait, unless the queue of the listener is full.
+  if (fd >= 0 && ::connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0) {
+    const int on = 1;
+    ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    ::fcntl(fd, F_SETFL, ::fcntl(fd, F_GETFL) | O_NONBLOCK);
+    return fd;
+  }
+  if (fd >= 0)
+    ::close(fd);
+  return -1;
+}
+
+}  // namespace
+
+Connection::Connection(net::Loop& loop, int port, Handlers handlers)
+    : loop_(loop), handlers_(std::move(handlers)), fd_(connect_to(port)) {
+  if (fd_ >= 0)
+    watcher_ = std::make_unique<net::FdWatcher>(loop_, fd_, [this] { on_readable(); });
+}
+
+Connection::~Connection() {
+  close();
+}
+
+bool Connection::open() const {
+  if (!watcher_)
+    return false;
+  pollfd status{fd_, POLLRDHUP, 0};
+  return ::poll(&status, 1, 0) == 0;
+}
+
+bool Connection::send(std::string_view bytes) {
+  return watcher_ && ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+                         static_cast<ssize_t>(bytes.size());
+}
+
+void Connection::close() {
+  if (!watcher_)
+    return;
+  watcher_->enable(false);
+  if (in_handler_)
+    loop_.in(Duration(0), [watcher = std::shared_ptr<net::FdWatcher>(std::move(watcher_))] {});
+  watcher_.reset();
+}
+
+void Connection::on_readable() {
+  in_handler_ = true;
+  read();
+  in_handler_ = false;
+}
+
+void Connection::read() {
+  std::array<char, read_chunk_bytes> buffer;
+  const ssize_t got = ::recv(fd_, buffer.data(), buffer.size(), 0);
+  if (got > 0) {
+    handlers_.on_bytes({buffer.data(), static_cast<std::size_t>(got)});
+    return;
+  }
+  if (got < 0 && errno == EAGAIN)
+    return;
+  const bool unread = got < 0 || has_unread_bytes();
+  close();
+  handlers_.on_closed(unread ? CloseKind::unread : CloseKind::orderly);
+}
+
+// After the end of the stream: whether the peer's side was gone before all that was sent had come.
+// What comes to a side that is gone is not acknowledged, and is answered by a reset, which may not
+// be there yet. What had come and was not read would have made the end a reset.
+bool Connection::has_unread_bytes() const {
+  int unacknowledged = 0;
+  ::ioctl(fd_, SIOCOUTQ, &unacknowledged);
+  // In this order: a reset that comes in between discards what is unacknowledged and leaves its
+  // error.
+  int error = 0;
+  socklen_t length = sizeof error;
+  ::getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &length);
+  return error != 0 || unacknowledged > 0;
+}
+
+}  // namespace robinhoist::soak
--- /dev/null
+++ b/tests/soak/endpoints.h
@@ -0,0 +1,53 @@
+/// The simulated endpoints of the soak.
+#pragma once
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "http/server.h"
+#include "net/loop.h"
+#include "observer.h"
+#include "plan.h"
+
+namespace robinhoist::soak {
+
+/// Endpoints that deduplicate by key among each other, each as its plan says.
+class Endpoints {
+ public:
+  Endpoints(net::Loop& loop, const Plan& plan, Observer& observer);
+
+  std::size_t count() const { return servers_.size(); }
+  const std::string& name(std::size_t endpoint) const { return plan_.endpoints[endpoint].name; }
+  int port(std::size_t endpoint) const { return servers_[endpoint]->port(); }
+
+  /// Breaks all connections of one that is drawn.
+  void reset_some();
+  /// Closes the idle connections of one that is drawn.
+  void close_some_idle();
+
+ private:
+  void handle(const EndpointPlan& endpoint, const http::ExchangePtr& exchange);
+  struct Run {
+    bool has_effect;
+    bool fails;  ///< it is answered with an error
+  };
+  void run(const EndpointPlan& endpoint, const http::ExchangePtr& exchange, const Arrival& arrival,
+           long work, Run run);
+  bool begin_effect(const Arrival& arrival);
+  http::Server& draw_server();
+  bool chance(double share) { return std::bernoulli_distribution(share)(random_); }
+
+  net::Loop& loop_;
+  net::Timers timers_;
+  const Plan& plan_;
+  Observer& observer_;
+  std::mt19937 random_;
+  std::map<std::string, std::optional<TimePoint>> keys_{};  ///< when they ran; none: they run now
+  std::vector<http::ExchangePtr> unanswered_{};             ///< kept: dropped, they would answer
+  std::vector<std::unique_ptr<http::Server>> servers_{};
+};
+
+}  // namespace robinhoist::soak
--- /dev/null
+++ b/tests/soak/observer.cpp
@@ -0,0 +1,199 @@
+#include "observer.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "record/meta.h"
+
+namespace robinhoist::soak {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration tick_interval = 2ms;
+// An attempt that begins later than this after its client left is a breach.
+constexpr Duration max_start_after_leave = 100ms;
+// The time that an attempt tells its endpoint may exceed what is left to the client by this.
+constexpr Duration max_told_excess = 150ms;
+constexpr Duration socket_slack = 50ms;
+constexpr const char* proxy_name = "n0";
+constexpr const char* zone = "here";
+
+std::string path(const std::string& folder, const char* name) {
+  return folder + "/" + name;
+}
+
+record::Meta meta_of(long seed) {
+  record::Meta meta;
+  meta.seed = seed;
+  meta.proxies = 1;
+  meta.length = 10s;
+  meta.answer_slack = 500ms;  // an answer up to so late earns nothing, but it is not lost
+  meta.drain_grace = 1s + socket_slack;
+  meta.window = 2s;
+  meta.fall_window = 1s;
+  meta.cold_for = 1s;
+  meta.free = 1;
+  meta.fall_multiple = 4;
+  meta.cold_from = 0.3;
+  meta.caps = {1};
+  meta.tenants = {"all"};
+  meta.request_classes = {{.name = "look", .latency_objective = 300ms, .deadline = 400ms},
+                          {.name = "book",
+                           .latency_objective = 300ms,
+                           .deadline = 400ms,
+                           .dedup_window = 200ms,
+                           .idempotency = Idempotency::idempotent_with_key},
+                          {.name = "pay",
+                           .latency_objective = 300ms,
+                           .deadline = 400ms,
+                           .idempotency = Idempotency::non_idempotent}};
+  return meta;
+}
+
+std::string to_ms(Duration duration) {
+  return std::to_string(duration / 1ms) + " ms";
+}
+
+}  // namespace
+
+StallMonitor::StallMonitor(net::Loop& loop)
+    : loop_(loop), last_(loop.now()), before_last_(loop.now()) {
+  tick();
+}
+
+StallMonitor::~StallMonitor() {
+  loop_.cancel(timer_);
+}
+
+void StallMonitor::tick() {
+  const TimePoint now = loop_.now();
+  longest_ = std::max(longest_, now - last_);
+  before_last_ = last_;
+  last_ = now;
+  timer_ = loop_.in(tick_interval, [this] { tick(); });
+}
+
+Observer::Observer(net::Loop& loop, const std::string& folder, long seed)
+    : loop_(loop),
+      stalls_(loop),
+      clients_(path(folder, "clients.jsonl")),
+      endpoints_(path(folder, "nodes.jsonl")),
+      told_(path(folder, "told.jsonl")),
+      proxies_(path(folder, "umpires.jsonl")) {
+  record::write(path(folder, "meta.json"), meta_of(seed));
+}
+
+void Observer::proxy_started() {
+  record::proxy_life(proxies_, loop_.now(), proxy_name, "start");
+}
+
+void Observer::proxy_ended() {
+  record::proxy_life(proxies_, loop_.now(), proxy_name, "stop");
+}
+
+void Observer::endpoint_started(const std::string& name) {
+  record::node_started(endpoints_, loop_.now(),
+                       {.endpoint = name,
+                        .zone = zone,
+                        .cell = 1,
+                        .build = 1,
+                        .started = {},
+                        .cold = false,
+                        .cores = 1,
+                        .speed = 1});
+}
+
+void Observer::list_told(const std::vector<registry::Endpoint>& entries, bool complete) {
+  record::told_list(told_, loop_.now(), proxy_name, entries, complete);
+}
+
+void Observer::release_told() {
+  record::told_news(told_, loop_.now(), proxy_name, 1, 0, "released", 1);
+}
+
+long Observer::attempt_arrived(const Arrival& arrival, bool rejected) {
+  const long work = next_work_++;
+  const std::string name = std::string(proxy_name) + "." + arrival.request_id;
+  record::node_met(endpoints_, stalls_.earliest(), rejected ? "refused" : "taken",
+                   {.endpoint = arrival.endpoint,
+                    .build = 1,
+                    .id = work,
+                    .request_class = static_cast<int>(arrival.kind),
+                    .request_name = name,
+                    .attempt = "1",
+                    .try_id = arrival.request_id,
+                    .key = arrival.key,
+                    .work = "0"});
+  check_arrival(arrival);
+  return work;
+}
+
+void Observer::check_arrival(const Arrival& arrival) {
+  const auto request = requests_.find(arrival.request_id);
+  if (request == requests_.end()) {
+    add_breach("an attempt of request " + arrival.request_id + ", which no client sent");
+    return;
+  }
+  const TimePoint at = stalls_.earliest();
+  SentRequest& sent = request->second;
+  sent.forwarded = true;
+  if (sent.left != TimePoint{} && at > sent.left + max_start_after_leave)
+    add_breach("request " + arrival.request_id + " was sent to " + arrival.endpoint + " " +
+               to_ms(at - sent.left) + " after its client had left");
+  const Duration time_left = sent.deadline - at;
+  if (arrival.told_timeout > time_left + max_told_excess)
+    add_breach("request " + arrival.request_id + " told " + arrival.endpoint + " " +
+               to_ms(arrival.told_timeout) + " where " + to_ms(time_left) + " were left");
+}
+
+void Observer::attempt_ran(const std::string& endpoint, long work, const char* how, bool effect) {
+  record::node_ran(endpoints_, loop_.now(), endpoint, work, how, effect);
+}
+
+void Observer::request_sent(const ClientRequest& request) {
+  requests_[std::to_string(request.id)] = {request.deadline, TimePoint{}};
+}
+
+bool Observer::was_forwarded(const ClientRequest& request) const {
+  const auto sent = requests_.find(std::to_string(request.id));
+  return sent != requests_.end() && sent->second.forwarded;
+}
+
+void Observer::client_left(const ClientRequest& request) {
+  requests_[std::to_string(request.id)].left = loop_.now();
+  request_ended(request, "left", 0, true);
+}
+
+void Observer::request_ended(const ClientRequest& request, const char* end, int status,
+                             bool right) {
+  ++ends_[end];
+  record::tried(clients_, {.from = request.sent,
+                           .to = std::max(request.sent, stalls_.earliest()),
+                           .until = request.deadline,
+                           .id = request.id,
+                           .first = request.id,
+                           .number = 1,
+                           .request_class = static_cast<int>(request.kind),
+                           .tenant = 0,
+                           .proxy = proxy_name,
+                           .key = request.key,
+                           .poison = false,
+                           .end = end,
+                           .status = status,
+                           .why = "",
+                           .endpoint = "",
+                           .build = -1,
+                           .right = right});
+}
+
+void Observer::add_breach(const std::string& what) {
+  breaches_.push_back(what);
+}
+
+void Observer::flush() {
+  for (record::Writer* writer : {&clients_, &endpoints_, &told_, &proxies_})
+    writer->flush();
+}
+
+}  // namespace robinhoist::soak
--- /dev/null
+++ b/tests/soak/observer.h
@@ -0,0 +1,111 @@
+/// What a run of the soak saw: its record for the auditor, and what it checks beside the auditor's
+/// five rules.
+#pragma once
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "net/loop.h"
+#include "record/lines.h"
+#include "record/record.h"
+#include "time/time_types.h"
+
+namespace robinhoist::soak {
+
+/// The request classes of tests/platform/config.json, in their order.
+enum class RequestKind { idempotent, idempotent_with_key, non_idempotent };
+
+/// Knows how long ago an event may really have happened that a handler sees now, because the loop
+/// of the test itself was held up.
+class StallMonitor {
+ public:
+  explicit StallMonitor(net::Loop& loop);
+  ~StallMonitor();
+  StallMonitor(const StallMonitor&) = delete;
+  StallMonitor& operator=(const StallMonitor&) = delete;
+
+  /// The earliest time at which an event that is handled now can have happened.
+  TimePoint earliest() const { return before_last_; }
+  Duration longest() const { return longest_; }
+
+ private:
+  void tick();
+
+  net::Loop& loop_;
+  net::Loop::Timer timer_ = net::Loop::no_timer;
+  TimePoint last_;
+  TimePoint before_last_;
+  Duration longest_{};
+};
+
+struct ClientRequest {
+  long id = 0;
+  RequestKind kind{};
+  std::string key{};
+  TimePoint sent{};
+  TimePoint deadline{};
+};
+
+/// An attempt as it reached an endpoint.
+struct Arrival {
+  std::string endpoint{};
+  std::string request_id{};
+  std::string key{};
+  RequestKind kind{};
+  Duration told_timeout{};
+};
+
+class Observer {
+ public:
+  /// Writes the record into a folder, which has to exist.
+  Observer(net::Loop& loop, const std::string& folder, long seed);
+
+  void proxy_started();
+  void proxy_ended();
+  void endpoint_started(const std::string& name);
+  void list_told(const std::vector<registry::Endpoint>& entries, bool complete);
+  void release_told();
+
+  /// Returns the number of the work.
+  long attempt_arrived(const Arrival& arrival, bool rejected);
+  void attempt_ran(const std::string& endpoint, long work, const char* how, bool effect);
+
+  long next_request_id() { return next_request_id_++; }
+  void request_sent(const ClientRequest& request);
+  /// `end` is one of the record's words.
+  void request_ended(const ClientRequest& request, const char* end, int status, bool right);
+  /// Whether an attempt of it has reached an endpoint.
+  bool was_forwarded(const ClientRequest& request) const;
+  void client_left(const ClientRequest& request);
+
+  /// A rule that did not hold, beside those of the auditor.
+  void add_breach(const std::string& what);
+  const std::vector<std::string>& breaches() const { return breaches_; }
+  const std::map<std::string, int>& ends() const { return ends_; }
+  const StallMonitor& stalls() const { return stalls_; }
+  void flush();
+
+ private:
+  struct SentRequest {
+    TimePoint deadline;
+    TimePoint left;  ///< zero: its client has not left
+    bool forwarded = false;
+  };
+  void check_arrival(const Arrival& arrival);
+
+  net::Loop& loop_;
+  StallMonitor stalls_;
+  record::Writer clients_;
+  record::Writer endpoints_;
+  record::Writer told_;
+  record::Writer proxies_;
+  std::unordered_map<std::string, SentRequest> requests_{};
+  std::map<std::string, int> ends_{};
+  std::vector<std::string> breaches_{};
+  long next_work_ = 1;
+  long next_request_id_ = 1;
+};
+
+}  // namespace robinhoist::soak
--- /dev/null
+++ b/tests/soak/plan.cpp
@@ -0,0 +1,139 @@
+#include "plan.h"
+
+#include <algorithm>
+#include <csignal>
+#include <random>
+
+namespace robinhoist::soak {
+namespace {
+
+using namespace std::chrono_literals;
+
+// SIGKILL comes no earlier than the longest deadline, counted as three seconds where it is shorter,
+// and so much more after SIGTERM.
+constexpr Duration min_kill_delay = 3s;
+constexpr Duration kill_margin = 700ms;
+
+class PlanDraw {
+ public:
+  explicit PlanDraw(long seed) : random_(static_cast<std::uint32_t>(seed)) {
+    plan_.seed = static_cast<std::uint32_t>(seed);
+  }
+
+  Plan draw() {
+    plan_.terminate = between(900ms, 1800ms);
+    if (chance(0.3))
+      draw_list_silence();
+    plan_.last_connect = plan_.terminate + between(200ms, 400ms);
+    plan_.kill = plan_.terminate + std::max(max_request_timeout, min_kill_delay) + kill_margin;
+    plan_.clients = static_cast<int>(integer(8, 40));
+    plan_.leave_share = chance(0.7) ? 0.05 : 0.25;
+    draw_endpoints();
+    draw_signals();
+    draw_troubles();
+    return plan_;
+  }
+
+ private:
+  std::int64_t integer(std::int64_t least, std::int64_t most) {
+    return std::uniform_int_distribution<std::int64_t>(least, most)(random_);
+  }
+  Duration between(Duration least, Duration most) {
+    return Duration(integer(least.count(), most.count()));
+  }
+  bool chance(double share) { return std::bernoulli_distribution(share)(random_); }
+
+  // A silence that lasts long enough for the change in it to count as told, and for its grace.
+  void draw_list_silence() {
+    plan_.list_silence = between(100ms, 500ms);
+    plan_.terminate = *plan_.list_silence + max_change_delay + between(1200ms, 2s);
+  }
+
+  void draw_endpoints() {
+    const std::int64_t count = integer(2, 5);
+    for (std::int64_t i = 0; i < count; ++i) {
+      EndpointPlan endpoint{.name = "s" + std::to_string(i)};
+      endpoint.min_delay = between(1ms, 20ms);
+      endpoint.max_delay = endpoint.min_delay + (chance(0.5) ? between(100ms, 450ms) : 30ms);
+      endpoint.reject_share = chance(0.3) ? 0.1 : 0;
+      endpoint.error_share = chance(0.3) ? 0.05 : 0;
+      // The first is never one that hangs for good, so that the run serves something.
+      endpoint.hang_share = i > 0 && chance(0.5) ? (chance(0.3) ? 1 : 0.2) : 0;
+      plan_.endpoints.push_back(endpoint);
+    }
+  }
+
+  void add_signal(Duration at, int number, ConfigChange config = ConfigChange::none) {
+    plan_.signals.push_back({at, number, config});
+  }
+
+  // The series that the protocol allows: reloads in a row, before and after the end began, at the
+  // same instant, of a file that cannot be read, and a second SIGTERM.
+  void draw_signals() {
+    const Duration end = plan_.terminate;
+    const std::int64_t reloads = integer(0, 3);
+    Duration at = between(50ms, end / 2);
+    for (std::int64_t i = 0; i < reloads; ++i) {
+      add_signal(std::min(at, end), SIGHUP,
+                 chance(0.25) ? ConfigChange::unreadable : ConfigChange::move);
+      at += chance(0.5) ? between(0ms, 20ms) : between(50ms, 400ms);
+    }
+    if (chance(0.4))
+      add_signal(end, SIGHUP, ConfigChange::move);
+    add_signal(end, SIGTERM);
+    if (chance(0.4))
+      add_signal(end + between(0ms, 700ms), SIGHUP, ConfigChange::move);
+    if (chance(0.4))
+      add_signal(end + between(0ms, 900ms), SIGTERM);
+    std::stable_sort(
+        plan_.signals.begin(), plan_.signals.end(),
+        [](const SignalEvent& one, const SignalEvent& other) { return one.at < other.at; });
+  }
+
+  void draw_troubles() {
+    const Duration end = plan_.terminate;
+    if (chance(0.4))
+      plan_.crowd = between(100ms, end + 300ms);
+    const std::size_t last = plan_.endpoints.size() - 1;
+    if (plan_.list_silence)
+      plan_.drains.push_back({*plan_.list_silence + between(100ms, 2s), last});
+    else if (last > 1 && chance(0.5))
+      plan_.drains.push_back({between(100ms, end + 200ms), last});
+    for (std::int64_t i = integer(0, 3); i > 0; --i)
+      plan_.resets.push_back(between(100ms, end + 500ms));
+    for (std::int64_t i = integer(0, 4); i > 0; --i)
+      plan_.idle_closes.push_back(between(100ms, end + 500ms));
+  }
+
+  std::mt19937 random_;
+  Plan plan_{};
+};
+
+const char* name_of(const SignalEvent& signal) {
+  if (signal.number == SIGTERM)
+    return "TERM";
+  return signal.config == ConfigChange::unreadable ? "HUP(unreadable)" : "HUP";
+}
+
+}  // namespace
+
+std::string Plan::describe() const {
+  std::string text;
+  for (const SignalEvent& signal : signals)
+    text += (text.empty() ? "" : " ") + std::string(name_of(signal));
+  if (crowd)
+    text += ", crowd";
+  if (list_silence)
+    text += ", silent list";
+  if (!drains.empty())
+    text += ", drain";
+  if (!resets.empty())
+    text += ", resets";
+  return text;
+}
+
+Plan draw_plan(long seed) {
+  return PlanDraw(seed).draw();
+}
+
+}  // namespace robinhoist::soak
--- /dev/null
+++ b/tests/soak/run.cpp
@@ -0,0 +1,216 @@
+#include "run.h"
+
+#include <sys/wait.h>
+
+#include <chrono>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <numeric>
+
+#include "../child_process.h"
+#include "../platform_fixture.h"
+#include "audit/audit.h"
+#include "clients.h"
+#include "endpoints.h"
+#include "http/connection_pool.h"
+#include "http/status.h"
+#include "observer.h"
+#include "plan.h"
+#include "services.h"
+
+namespace robinhoist::soak {
+namespace {
+
+using namespace std::chrono_literals;
+
+// No SIGHUP comes in the first second of a process.
+constexpr Duration min_start_time = 1100ms;
+constexpr Duration max_start_time = 30s;
+constexpr Duration exit_check_interval = 5ms;
+constexpr Duration readiness_interval = 10ms;
+constexpr int crowd_size = 300;  // more than the 256 descriptors of the configuration
+constexpr int max_descriptors = 256;
+
+class Run {
+ public:
+  Run(long seed, std::string folder)
+      : folder_(std::move(folder)),
+        plan_(draw_plan(seed)),
+        observer_(loop_, folder_, seed),
+        endpoints_(loop_, plan_, observer_),
+        list_(observer_),
+        crowd_(loop_, port_, observer_, plan_.seed + 2) {
+    for (std::size_t i = 0; i < endpoints_.count(); ++i)
+      list_.add({.name = endpoints_.name(i),
+                 .address = "127.0.0.1:" + std::to_string(endpoints_.port(i)),
+                 .zone = "here"});
+    add_services();
+    write_config(whole_config());
+  }
+
+  RunResult play() {
+    proxy_ = std::make_unique<tests::ChildProcess>(
+        tests::Words{"platform", "--config", config_file()}, folder_ + "/proxy.log",
+        static_cast<rlim_t>(max_descriptors));
+    observer_.proxy_started();
+    const TimePoint started = loop_.now();
+    when_ready([this, started] { start_traffic(std::max(loop_.now(), started + min_start_time)); });
+    start_limit_ = loop_.in(max_start_time, [this] {
+      observer_.add_breach("not ready after 30 s");
+      loop_.stop();
+    });
+    loop_.run();
+    return finish();
+  }
+
+ private:
+  std::string config_file() const { return folder_ + "/config.json"; }
+
+  void add_services() { services_.push_back(std::make_unique<Services>(loop_, list_, observer_)); }
+
+  std::string whole_config() const {
+    const std::string address = services_.back()->address();
+    std::string text = tests::replace_once(tests::config_text(), "127.0.0.1:0",
+                                           "127.0.0.1:" + std::to_string(port_));
+    text = tests::replace_once(text, "127.0.0.1:1", address);
+    return tests::replace_once(text, "127.0.0.1:1", address);
+  }
+
+  void write_config(const std::string& text) const {
+    std::ofstream(config_file() + ".new") << text;
+    std::filesystem::rename(config_file() + ".new", config_file());
+  }
+
+  void when_ready(const std::function<void()>& task) {
+    http::Request request;
+    request.target = "/up";
+    readiness_.call(
+        request, 100ms, [this, task](http::CallResult result, const http::Response& response) {
+          if (result == http::CallResult::answered && response.status == http::status_ok)
+            task();
+          else
+            timers_.in(readiness_interval, [this, task] { when_ready(task); });
+        });
+  }
+
+  void start_traffic(TimePoint start) {
+    loop_.cancel(start_limit_);
+    for (int i = 0; i < plan_.clients; ++i)
+      timers_.at(start, [this, start, i] {
+        clients_.push_back(std::make_unique<Client>(loop_, port_, plan_, observer_, start,
+                                                    static_cast<std::uint32_t>(i)));
+      });
+    for (const SignalEvent& signal : plan_.signals)
+      timers_.at(start + signal.at, [this, &signal] { send_signal(signal); });
+    for (const DrainEvent& drain : plan_.drains)
+      timers_.at(start + drain.at, [this, drain] { begin_drain(drain.endpoint); });
+    for (const Duration reset : plan_.resets)
+      timers_.at(start + reset, [this] { endpoints_.reset_some(); });
+    for (const Duration close : plan_.idle_closes)
+      timers_.at(start + close, [this] { endpoints_.close_some_idle(); });
+    if (plan_.list_silence) {
+      timers_.at(start + *plan_.list_silence, [this] { services_.back()->fall_silent(); });
+      timers_.at(start + *plan_.list_silence + max_change_delay, [this] { list_.note_told(true); });
+    }
+    if (plan_.crowd)
+      timers_.at(start + *plan_.crowd, [this] { crowd_.connect(crowd_size); });
+    terminate_at_ = start + plan_.terminate;
+    timers_.at(start + plan_.kill, [this] { kill_proxy(); });
+    watch_for_exit();
+  }
+
+  void send_signal(const SignalEvent& signal) {
+    if (signal.config == ConfigChange::move) {
+      services_.back()->retire();
+      add_services();
+      write_config(whole_config());
+    } else if (signal.config == ConfigChange::unreadable) {
+      write_config(whole_config().substr(0, 200));
+    }
+    if (proxy_->pid > 0)
+      ::kill(proxy_->pid, signal.number);
+  }
+
+  void begin_drain(std::size_t endpoint) {
+    list_.set_draining(endpoint);
+    for (const auto& services : services_)
+      services->push_change();
+  }
+
+  void watch_for_exit() {
+    int status = 0;
+    if (::waitpid(proxy_->pid, &status, WNOHANG) != proxy_->pid) {
+      timers_.in(exit_check_interval, [this] { watch_for_exit(); });
+      return;
+    }
+    proxy_->pid = 0;
+    observer_.proxy_ended();
+    ended_by_itself_ = true;
+    if (loop_.now() < terminate_at_)
+      observer_.add_breach("the program ended before SIGTERM");
+    if (!WIFEXITED(status) || WEXITSTATUS(status) != 0)
+      observer_.add_breach("the program ended with wait status " + std::to_string(status));
+  }
+
+  void kill_proxy() {
+    for (const auto& client : clients_)
+      client->expect_nothing_open();
+    if (!ended_by_itself_) {
+      proxy_->end(SIGKILL);
+      observer_.proxy_ended();
+    }
+    loop_.stop();
+  }
+
+  RunResult finish() {
+    observer_.flush();
+    if (observer_.ends().count("settled") == 0)
+      observer_.add_breach("no request succeeded");
+    RunResult result{.description = plan_.describe(),
+                     .ends = observer_.ends(),
+                     .breaches = observer_.breaches(),
+                     .ended_by_itself = ended_by_itself_,
+                     .longest_stall = observer_.stalls().longest()};
+    const audit::Report report = audit::audit(folder_);
+    for (const audit::RuleReport& rule : report.rules)
+      if (!rule.kept())
+        result.breaches.push_back(std::string(rule.name) + ": broken " +
+                                  std::to_string(rule.broken) +
+                                  " times, first: " + rule.first_breach);
+    return result;
+  }
+
+  std::string folder_;
+  Plan plan_;
+  net::Loop loop_{net::steady_now()};
+  net::Timers timers_{loop_};
+  const int port_ = tests::free_port();
+  http::ConnectionPool readiness_{
+      loop_, Poco::Net::SocketAddress("127.0.0.1:" + std::to_string(port_)), {}};
+  Observer observer_;
+  Endpoints endpoints_;
+  EndpointList list_;
+  std::vector<std::unique_ptr<Services>> services_{};
+  std::vector<std::unique_ptr<Client>> clients_{};
+  Crowd crowd_;
+  std::unique_ptr<tests::ChildProcess> proxy_{};
+  net::Loop::Timer start_limit_ = net::Loop::no_timer;
+  TimePoint terminate_at_{};
+  bool ended_by_itself_ = false;
+};
+
+}  // namespace
+
+int RunResult::requests() const {
+  return std::accumulate(ends.begin(), ends.end(), 0,
+                         [](int sum, const auto& end) { return sum + end.second; });
+}
+
+RunResult play_run(long seed, const std::string& folder) {
+  std::filesystem::create_directories(folder);
+  return Run(seed, folder).play();
+}
+
+}  // namespace robinhoist::soak
--- /dev/null
+++ b/tests/soak/services.cpp
@@ -0,0 +1,103 @@
+#include "services.h"
+
+#include <chrono>
+
+namespace robinhoist::soak {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration sign_of_life_interval = 1s;  // of the release; the list has one every other
+constexpr Duration retired_connection_lifetime = 1500ms;
+constexpr const char* release =
+    R"({"Revision":1,"Wave":0,"State":"COMPLETE","MaxShare":1.0,"AgeMs":9000})";
+
+}  // namespace
+
+void EndpointList::set_draining(std::size_t endpoint) {
+  entries_[endpoint].phase = EndpointPhase::draining;
+  last_changed_ = endpoint;
+  ++version_;
+}
+
+std::string EndpointList::line(const std::vector<registry::Endpoint>& entries,
+                               bool complete) const {
+  std::string members;
+  for (const registry::Endpoint& entry : entries) {
+    const char* phase = entry.phase == EndpointPhase::ready ? "ready" : "draining";
+    members += std::string(members.empty() ? "" : ",") + R"({"id":")" + entry.name +
+               R"(","host_port":")" + entry.address + R"(","locality":"here","flavor":"m",)" +
+               R"("cell":1,"phase":")" + phase + R"(","size":1.0,"up_since_ms":0,"build":1})";
+  }
+  return "{\"revision\":" + std::to_string(version_) +
+         ",\"complete\":" + (complete ? "true" : "false") + ",\"members\":[" + members + "]}\n";
+}
+
+std::string EndpointList::complete_line() const {
+  return line(entries_, true);
+}
+
+std::string EndpointList::last_change_line() const {
+  return line({entries_[last_changed_]}, false);
+}
+
+void EndpointList::note_told(bool complete) const {
+  observer_.list_told(complete ? entries_ : std::vector{entries_[last_changed_]}, complete);
+}
+
+Services::Services(net::Loop& loop, EndpointList& list, Observer& observer)
+    : timers_(loop),
+      list_(list),
+      observer_(observer),
+      server_(loop, http::ServerSettings{},
+              [this](const http::ExchangePtr& exchange) { handle(exchange); }) {
+  keep_alive();
+}
+
+Services::~Services() = default;
+
+void Services::keep_alive() {
+  for (const http::ExchangePtr& watch : release_watches_)
+    watch->write("{}\n");
+  if (++ticks_ % 2 == 0)
+    for (const http::ExchangePtr& watch : list_watches_)
+      watch->write("\n");
+  timers_.in(sign_of_life_interval, [this] { keep_alive(); });
+}
+
+void Services::handle(const http::ExchangePtr& exchange) {
+  if (exchange->request.target == "/v1/verdicts") {
+    exchange->answer(http::json_response(200, release));
+    return;
+  }
+  exchange->begin_stream({});
+  if (exchange->request.target == "/v1/watch") {
+    release_watches_.push_back(exchange);
+    exchange->write(std::string("{\"type\":\"ROLLOUT\",\"object\":") + release + "}\n");
+    observer_.release_told();
+    return;
+  }
+  list_watches_.push_back(exchange);
+  exchange->write(list_.complete_line());
+  list_.note_told(true);
+}
+
+void Services::push_change() {
+  for (const http::ExchangePtr& watch : list_watches_) {
+    if (watch->gone() || !watch->write(list_.last_change_line()))
+      continue;
+    list_.note_told(false);
+  }
+}
+
+void Services::fall_silent() {
+  // Held open and said nothing on.
+  timers_.in(1h, [silent = std::exchange(list_watches_, {})] {});
+}
+
+void Services::retire() {
+  server_.pause(true);
+  timers_.in(retired_connection_lifetime, [this] { server_.reset_connections(); });
+}
+
+}  // namespace robinhoist::soak
--- /dev/null
+++ b/tests/soak/services.h
@@ -0,0 +1,66 @@
+/// The platform's services as the soak plays them: the endpoint list and the release.
+#pragma once
+#include <string>
+#include <vector>
+
+#include "http/server.h"
+#include "net/loop.h"
+#include "observer.h"
+#include "registry/registry.h"
+
+namespace robinhoist::soak {
+
+/// The endpoint list, shared by the services of all addresses.
+class EndpointList {
+ public:
+  explicit EndpointList(Observer& observer) : observer_(observer) {}
+
+  void add(const registry::Endpoint& endpoint) { entries_.push_back(endpoint); }
+  void set_draining(std::size_t endpoint);
+  int version() const { return version_; }
+  /// The whole list as a line of the watch.
+  std::string complete_line() const;
+  /// The change that made the present version, as a line.
+  std::string last_change_line() const;
+  /// Notes in the record that the proxy is told the whole list, or the last change.
+  void note_told(bool complete) const;
+
+ private:
+  std::string line(const std::vector<registry::Endpoint>& entries, bool complete) const;
+
+  Observer& observer_;
+  std::vector<registry::Endpoint> entries_{};
+  std::size_t last_changed_ = 0;
+  int version_ = 8;
+};
+
+/// Both services at one address.
+class Services {
+ public:
+  Services(net::Loop& loop, EndpointList& list, Observer& observer);
+  ~Services();
+  Services(const Services&) = delete;
+  Services& operator=(const Services&) = delete;
+
+  std::string address() const { return "127.0.0.1:" + std::to_string(server_.port()); }
+  /// Writes the last change to all open watches of the list.
+  void push_change();
+  /// The open watches say nothing more; new ones do.
+  void fall_silent();
+  /// Takes no new connection, and closes the open ones a little later.
+  void retire();
+
+ private:
+  void handle(const http::ExchangePtr& exchange);
+  void keep_alive();
+
+  net::Timers timers_;
+  EndpointList& list_;
+  Observer& observer_;
+  std::vector<http::ExchangePtr> list_watches_{};
+  std::vector<http::ExchangePtr> release_watches_{};
+  int ticks_ = 0;
+  http::Server server_;
+};
+
+}  // namespace robinhoist::soak
--- /dev/null
+++ b/tests/soak_options_test.cpp
@@ -0,0 +1,68 @@
+/// The soak's command line, and that the series it draws are ones that the protocol allows.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+
+#include "soak/options.h"
+#include "soak/plan.h"
+
+namespace robinhoist::soak {
+namespace {
+
+using namespace std::chrono_literals;
+
+std::string error_of(const std::vector<std::string>& words) {
+  try {
+    parse_options(words);
+  } catch (const UsageError& error) {
+    return error.what();
+  }
+  return "";
+}
+
+TEST(SoakOptions, ReadsSeedsAndFolder) {
+  const Options one = parse_options({"--seeds", "7"});
+  EXPECT_EQ(one.first_seed, 7);
+  EXPECT_EQ(one.last_seed, 7);
+  const Options several = parse_options({"--out", "x", "--seeds", "3-9"});
+  EXPECT_EQ(several.first_seed, 3);
+  EXPECT_EQ(several.last_seed, 9);
+  EXPECT_EQ(several.folder, "x");
+}
+
+TEST(SoakOptions, NamesWhatIsWrong) {
+  EXPECT_EQ(error_of({"--seeds", "x"}), "--seeds: 'x' is no number from 1 to 1000000000");
+  EXPECT_EQ(error_of({"--seeds", "1-"}), "--seeds: '' is no number from 1 to 1000000000");
+  EXPECT_EQ(error_of({"--seeds", "0"}), "--seeds: '0' is no number from 1 to 1000000000");
+  EXPECT_EQ(error_of({"--seeds", "3-1"}), "--seeds: '3-1' ends before it begins");
+  EXPECT_EQ(error_of({"--seed", "3"}), "'--seed' is no option: --seeds FIRST[-LAST], --out DIR");
+  EXPECT_EQ(error_of({"--out"}), "--out needs a value");
+}
+
+TEST(SoakPlan, KeepsToTheProtocol) {
+  constexpr long seeds = 1000;
+  int series_with_reload_after_the_end = 0;
+  int crowds = 0;
+  for (long seed = 1; seed <= seeds; ++seed) {
+    const Plan plan = draw_plan(seed);
+    ASSERT_EQ(plan.kill, plan.terminate + 3700ms) << seed;
+    ASSERT_GE(plan.last_connect, plan.terminate + 200ms) << seed;
+    ASSERT_LE(plan.last_connect, plan.terminate + 400ms) << seed;
+    ASSERT_GT(plan.clients, 0) << seed;
+    ASSERT_LT(plan.endpoints.front().hang_share, 1) << seed;
+    const auto first_term =
+        std::find_if(plan.signals.begin(), plan.signals.end(),
+                     [](const SignalEvent& signal) { return signal.number == SIGTERM; });
+    ASSERT_NE(first_term, plan.signals.end()) << seed;
+    ASSERT_EQ(first_term->at, plan.terminate) << seed;
+    series_with_reload_after_the_end += plan.signals.back().number == SIGHUP ? 1 : 0;
+    crowds += plan.crowd ? 1 : 0;
+  }
+  EXPECT_GT(series_with_reload_after_the_end, seeds / 10);
+  EXPECT_GT(crowds, seeds / 4);
+}
+
+}  // namespace
+}  // namespace robinhoist::soak
