Canary analysis: attempts that are still open count by the time they have been waited for

Cause: the analysis learned of an attempt when it ended. Evidence, logged by a trial build: at the end of stage 1 the canary had 157 attempts begun, 27 answered, 102 open and up to 6.6 s old; the baseline 560, 400 and 190. Ruled out: too few attempts drawn, restarts alone (join has none), the test's demand for baseline endpoints.

--- a/src/policy/analysis_report.cpp
+++ b/src/policy/analysis_report.cpp
@@ -25,6 +25,8 @@
       return "p99 in latency objectives %.3g against %.3g";
     case AnalysisReason::latency:
       return "latency %.3g times the baseline's, uncertainty factor %.3g";
+    case AnalysisReason::answer_rate:
+      return "answers %.3g where the baseline's rate gives %.3g";
     case AnalysisReason::ageing:
       return "only the oldest canary endpoints are unhealthy, p-value %.3g against %.3g";
     case AnalysisReason::hold:
--- a/src/policy/analysis_report.h
+++ b/src/policy/analysis_report.h
@@ -21,6 +21,7 @@
   fleet_slowdown,          ///< load per endpoint now; load per endpoint before the offer
   p99_latency,             ///< p99 over latency objective of the canary; of the baseline
   latency,                 ///< latency relative to the baseline's; its uncertainty as a factor
+  answer_rate,             ///< answers of the canary; how many the baseline's rate gives
   ageing,                  ///< p-value that chance picks the oldest endpoints; its threshold
   hold,                    ///< attempts judged so far; failures among them
   released,                ///< no figures: the build is released and still analysed
--- a/src/policy/canary_analysis.cpp
+++ b/src/policy/canary_analysis.cpp
@@ -68,7 +68,8 @@
       canary_samples_(canary_window),
       baseline_samples_(baseline_window),
       fleet_slowdown_(many_votes(), request_classes),
-      wrong_answers_(settings.wrong_answer_report_share) {}
+      wrong_answers_(settings.wrong_answer_report_share),
+      answer_rate_(many_votes()) {}
 
 void CanaryAnalysis::release_updated(const ReleaseUpdate& release, TimePoint now) {
   const bool same_build = release_ && release_->build == release.build;
@@ -78,6 +79,7 @@
     seen_as_canary_ = false;
     standing_roll_back_ = {};
     fleet_slowdown_.build_offered();
+    answer_rate_.build_offered();
   }
   if (release.phase == ReleasePhase::canary)
     seen_as_canary_ = true;
@@ -93,6 +95,7 @@
     const bool enough = static_cast<double>(canary_samples_.size()) >= min_stage_attempts;
     if (!next_stage || !many_votes() || enough) {
       canary_samples_.clear();
+      answer_rate_.stage_began();
       counted_from_ = stage_began_at_;
     }
   }
@@ -111,6 +114,14 @@
     baseline_samples_.push(sample);
 }
 
+void CanaryAnalysis::wait_ended(AttemptKey key, Outcome outcome, TimePoint now) {
+  // Errors come at once, and are counted as failures.
+  if (proves_not_run(outcome) || outcome == Outcome::error)
+    answer_rate_.attempt_withdrawn(key);
+  else
+    answer_rate_.attempt_ended(key, outcome == Outcome::ok, now);
+}
+
 bool CanaryAnalysis::judgeable() const {
   if (!release_)
     return false;
@@ -154,8 +165,12 @@
   if (latency.failed())
     return roll_back(latency);
 
+  const TestResult answer_rate = answer_rate_.run(counted_from_, context, now);
+  if (answer_rate.failed())
+    return roll_back(answer_rate);
+
   bool suspicious = false;
-  for (const TestResult& result : {ageing, failures, wrong_answers, latency})
+  for (const TestResult& result : {ageing, failures, wrong_answers, latency, answer_rate})
     suspicious |= result.outcome == TestOutcome::suspicious;
   return without_failed_test(cohorts.canary.total, stage, suspicious, canary_requests_per_s, now);
 }
--- a/src/policy/canary_analysis.h
+++ b/src/policy/canary_analysis.h
@@ -8,6 +8,7 @@
 /// 3. failures, in all and by request class (failure_test.h)
 /// 4. wrong answers (wrong_answer_test.h)
 /// 5. latency (latency_test.h)
+/// 6. answers for the time waited (answer_rate_check.h)
 ///
 /// If none fails, a judged stage is promoted where votes move the release, and held for a few
 /// seconds where a clock does and the evidence is thin or suspicious.
@@ -16,10 +17,12 @@
 #include <set>
 #include <vector>
 
+#include "policy/answer_rate_check.h"
 #include "policy/cohort_statistics.h"
 #include "policy/endpoint_set.h"
 #include "policy/fleet_slowdown_test.h"
 #include "policy/latency_test.h"
+#include "policy/request.h"
 #include "policy/wrong_answer_test.h"
 #include "util/sliding_window.h"
 
@@ -34,6 +37,11 @@
   void release_updated(const ReleaseUpdate& release, TimePoint now);
   /// An attempt at an endpoint of this build has ended.
   void attempt_ended(int build, const Sample& sample);
+  /// An attempt was sent to a warm endpoint of this build, and how it ended.
+  void attempt_sent(AttemptKey key, int build, int endpoint, TimePoint now) {
+    answer_rate_.attempt_sent(key, under_analysis(build), endpoint, now);
+  }
+  void wait_ended(AttemptKey key, Outcome outcome, TimePoint now);
   /// An answer of this build was passed on to its client.
   void answer_passed_on(int build) { wrong_answers_.answer_passed_on(build); }
   /// A client reported an answer of this build as wrong.
@@ -83,6 +91,7 @@
   SlidingWindow<Sample> baseline_samples_;
   FleetSlowdownTest fleet_slowdown_;
   WrongAnswerTest wrong_answers_;
+  AnswerRateCheck answer_rate_;
 };
 
 }  // namespace robinhoist
--- a/src/policy/canary_test.h
+++ b/src/policy/canary_test.h
@@ -12,6 +12,9 @@
 /// The share of failed attempts from which a build is bad.
 inline constexpr double failure_threshold = 0.03;
 
+/// Standard deviation of the logarithm of an endpoint's latency, load included.
+inline constexpr double endpoint_spread = 0.22;
+
 /// How a test ended, from harmless to harmful.
 enum class TestOutcome {
   passed,
--- a/src/policy/decision_engine.cpp
+++ b/src/policy/decision_engine.cpp
@@ -47,6 +47,7 @@
   if (!request || index >= static_cast<int>(request->attempts.size()))
     return;
   const Attempt attempt = request->attempts[index];
+  analysis_.wait_ended({request_id, index}, outcome, now);
   const RequestInfo info = request->info;
   // What another endpoint has failed already tells nothing of this one or its build: guards against
   // requests that fail anywhere, which as retries would gather at the endpoints with capacity left.
@@ -63,6 +64,16 @@
   requests_.attempt_ended(request_id, index, outcome, succeeded, now);
 }
 
+// Answers are waited for from now on. Those of endpoints that warm up tell nothing of their build.
+void DecisionEngine::note_wait(const Decision& forward, TimePoint now) {
+  const ScheduledRequest* request = requests_.find(forward.request_id);
+  if (!request || !cluster_.endpoints().is_warm(forward.endpoint, now))
+    return;
+  const int last = static_cast<int>(request->attempts.size()) - 1;
+  analysis_.attempt_sent({forward.request_id, last}, request->attempts.back().build,
+                         forward.endpoint, now);
+}
+
 // Hands an ended attempt to the canary analysis and the latency model, if it tells something about
 // its build. What an endpoint loses once it stops answering counts as one failure of the build.
 // Late answers of endpoints that warm up, or from another zone, tell nothing.
@@ -107,8 +118,11 @@
     return decision;
   if (auto decision = vote_scheduler_.next(now, random_))
     return decision;
-  if (auto decision = requests_.next(now))
+  if (auto decision = requests_.next(now)) {
+    if (decision->action == Action::forward)
+      note_wait(*decision, now);
     return decision;
+  }
   return next_wake_up(now);
 }
 
--- a/src/policy/decision_engine.h
+++ b/src/policy/decision_engine.h
@@ -76,6 +76,7 @@
   bool knows(int request_id) const { return requests_.knows(request_id); }
 
  private:
+  void note_wait(const Decision& forward, TimePoint now);
   void record_sample(const Attempt& attempt, Outcome evidence, const RequestInfo& request,
                      TimePoint now);
   void analyze(TimePoint now);
--- a/src/policy/latency_test.cpp
+++ b/src/policy/latency_test.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-// Standard deviation of the logarithm of an endpoint's latency, load included.
-constexpr double endpoint_spread = 0.22;
 constexpr double min_p99_samples = 100;
 constexpr double p99_ceiling = 1;         // in latency objectives
 constexpr double p99_baseline_ratio = 2;  // by how much the canary's must exceed the baseline's
--- a/src/proxy/mode_names.cpp
+++ b/src/proxy/mode_names.cpp
@@ -50,6 +50,8 @@
       return "p99 in SLA times";
     case AnalysisReason::latency:
       return "times the older's latency";
+    case AnalysisReason::answer_rate:
+      return "answers against the older's rate";
     case AnalysisReason::ageing:
       return "early machines alone are poorly, by chance";
     case AnalysisReason::hold:
--- a/tests/analysis_report_test.cpp
+++ b/tests/analysis_report_test.cpp
@@ -39,6 +39,8 @@
                     "p99 in latency objectives 1.5 against 0.5"},
         WordingCase{{roll_back, AnalysisReason::latency, 2.125, 1.25},
                     "latency 2.12 times the baseline's, uncertainty factor 1.25"},
+        WordingCase{{roll_back, AnalysisReason::answer_rate, 1, 8.25},
+                    "answers 1 where the baseline's rate gives 8.25"},
         WordingCase{{roll_back, AnalysisReason::ageing, 0.0001, 0.001},
                     "only the oldest canary endpoints are unhealthy, p-value 0.0001 against 0.001"},
         WordingCase{{Verdict::hold, AnalysisReason::hold, 4, 1}, "held after 4 attempts, 1 failed"},
--- /dev/null
+++ b/tests/answer_rate_check_test.cpp
@@ -0,0 +1,123 @@
+/// The answer rate check of the canary analysis: what open attempts tell, and what they must not.
+#include "policy/answer_rate_check.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace robinhoist {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr TestContext many_votes{.significance = 0.016, .many_votes = true, .comparable = true};
+
+class AnswerRateCheckTest : public testing::Test {
+ protected:
+  static TimePoint at(Duration time) { return TimePoint(time); }
+
+  /// Attempts at each endpoint, one after the other, each answered after so long, for five seconds.
+  void answers(bool canary, const std::vector<int>& endpoints, Duration latency) {
+    for (Duration sent{}; sent + latency <= 5s; sent += latency)
+      for (const int endpoint : endpoints) {
+        const AttemptKey key{next_request_++, 0};
+        check_.attempt_sent(key, canary, endpoint, at(sent));
+        check_.attempt_ended(key, true, at(sent + latency));
+      }
+  }
+  void open(bool canary, int endpoint, Duration sent) {
+    check_.attempt_sent({next_request_++, 0}, canary, endpoint, at(sent));
+  }
+  void healthy_baseline() { answers(false, {1, 2, 3, 4}, 500ms); }
+  TestOutcome outcome(const TestContext& context = many_votes, Duration from = 0s) const {
+    return check_.run(at(from), context, at(5s)).outcome;
+  }
+
+  AnswerRateCheck check_{true};
+  int next_request_ = 1;
+};
+
+// Guards against a bad build that is released because its slow attempts were still open.
+TEST_F(AnswerRateCheckTest, OpenAttemptsAloneShowASlowBuild) {
+  healthy_baseline();
+  for (const int endpoint : {11, 12, 13, 14})
+    open(true, endpoint, 2s);
+  EXPECT_EQ(outcome(), TestOutcome::failed);
+}
+
+TEST_F(AnswerRateCheckTest, AFewOpenAttemptsAreReasonToHold) {
+  healthy_baseline();
+  for (const int endpoint : {11, 12, 13})
+    open(true, endpoint, 4200ms);
+  EXPECT_EQ(outcome(), TestOutcome::suspicious);
+}
+
+TEST_F(AnswerRateCheckTest, ABuildAsFastAsTheBaselinePasses) {
+  healthy_baseline();
+  answers(true, {11, 12, 13, 14}, 500ms);
+  for (const int endpoint : {11, 12, 13, 14})
+    open(true, endpoint, 4700ms);
+  EXPECT_EQ(outcome(), TestOutcome::passed);
+}
+
+TEST_F(AnswerRateCheckTest, OneEndpointThatHangsIsNotTheBuilds) {
+  healthy_baseline();
+  for (int i = 0; i < 8; ++i)
+    open(true, 11, 500ms);
+  answers(true, {12, 13, 14}, 500ms);
+  EXPECT_EQ(outcome(), TestOutcome::passed);
+}
+
+TEST_F(AnswerRateCheckTest, ABaselineThatHangsAsMuchExplainsIt) {
+  healthy_baseline();
+  for (const int endpoint : {1, 2, 3, 4})
+    for (int i = 0; i < 10; ++i)
+      open(false, endpoint, 1s);
+  for (const int endpoint : {11, 12, 13, 14})
+    open(true, endpoint, 2s);
+  EXPECT_EQ(outcome(), TestOutcome::passed);
+}
+
+TEST_F(AnswerRateCheckTest, SpeaksOnlyBesideAComparableBaseline) {
+  healthy_baseline();
+  for (const int endpoint : {11, 12, 13, 14})
+    open(true, endpoint, 2s);
+  EXPECT_EQ(outcome({.significance = 0.016, .many_votes = true, .comparable = false}),
+            TestOutcome::passed);
+}
+
+TEST_F(AnswerRateCheckTest, IsSilentWhereOneVoteRollsBack) {
+  check_ = AnswerRateCheck(false);
+  healthy_baseline();
+  for (const int endpoint : {11, 12, 13, 14})
+    open(true, endpoint, 2s);
+  EXPECT_EQ(outcome(), TestOutcome::passed);
+}
+
+TEST_F(AnswerRateCheckTest, OnlyTheWaitingSinceTheStageBeganCounts) {
+  healthy_baseline();
+  for (const int endpoint : {11, 12, 13, 14})
+    open(true, endpoint, 0s);
+  EXPECT_EQ(outcome(many_votes, 3s), TestOutcome::failed);
+  EXPECT_NE(outcome(many_votes, 4500ms), TestOutcome::failed);
+}
+
+TEST_F(AnswerRateCheckTest, NothingOfAnEarlierBuildCounts) {
+  healthy_baseline();
+  for (const int endpoint : {11, 12, 13, 14})
+    open(true, endpoint, 1s);
+  check_.build_offered();
+  EXPECT_EQ(outcome(), TestOutcome::passed);
+}
+
+TEST_F(AnswerRateCheckTest, WithdrawnAttemptsWereNotWaitedFor) {
+  healthy_baseline();
+  for (const int endpoint : {11, 12, 13, 14}) {
+    open(true, endpoint, 1s);
+    check_.attempt_withdrawn({next_request_ - 1, 0});
+  }
+  EXPECT_EQ(outcome(), TestOutcome::passed);
+}
+
+}  // namespace
+}  // namespace robinhoist
