Canary analysis: a roll-back that lacks votes outlives its stage for the lifetime of a vote

Cause: CanaryAnalysis::release_updated dropped the verdict at every stage, so that false alarms don't add up over them; a vote on its way was lost with it.

--- a/src/policy/canary_analysis.cpp
+++ b/src/policy/canary_analysis.cpp
@@ -87,8 +87,10 @@
     stage_began_at_ = now - release.since;
     fleet_slowdown_.stage_began();
     held_since_ = long_ago;
-    if (many_votes())
-      standing_roll_back_ = {};  // false alarms of many proxies would add up over the stages
+    // False alarms of many proxies would add up over the stages; but a vote that is on its way is
+    // not lost to a stage that the clock began.
+    if (many_votes() && now >= rolled_back_at_ + settings_.vote_lifetime)
+      standing_roll_back_ = {};
     // What is too little to judge a stage by is carried into the next: else quiet proxies never see
     // enough.
     const bool next_stage = same_build && release.phase == ReleasePhase::canary;
@@ -145,29 +147,29 @@
   const FleetObservation fleet{canary_samples_, baseline_samples_, load, now};
   const TestResult fleet_slowdown = fleet_slowdown_.run(*release_, fleet, context.comparable);
   if (fleet_slowdown.failed())
-    return roll_back(fleet_slowdown);
+    return roll_back(fleet_slowdown, now);
 
   Cohorts cohorts = collect_cohorts(now);
   const TestResult ageing = test_ageing(cohorts.canary, release_->build, endpoints, context);
   if (ageing.failed())
-    return roll_back(ageing);
+    return roll_back(ageing, now);
   exclude_unhealthy_endpoints(cohorts, context.comparable);
 
   const TestResult failures = test_failures(cohorts.canary, cohorts.baseline, context);
   if (failures.failed())
-    return roll_back(failures);
+    return roll_back(failures, now);
   const TestResult wrong_answers = wrong_answers_.run(release_->build, context);
   if (wrong_answers.failed())
-    return roll_back(wrong_answers);
+    return roll_back(wrong_answers, now);
   const StageProgress stage = stage_progress(endpoints, now);
   const TestResult latency =
       test_latency({cohorts.canary, cohorts.baseline, cohorts.recent_baseline}, stage, context);
   if (latency.failed())
-    return roll_back(latency);
+    return roll_back(latency, now);
 
   const TestResult answer_rate = answer_rate_.run(counted_from_, context, now);
   if (answer_rate.failed())
-    return roll_back(answer_rate);
+    return roll_back(answer_rate, now);
 
   bool suspicious = false;
   for (const TestResult& result : {ageing, failures, wrong_answers, latency, answer_rate})
@@ -175,7 +177,8 @@
   return without_failed_test(cohorts.canary.total, stage, suspicious, canary_requests_per_s, now);
 }
 
-AnalysisResult CanaryAnalysis::roll_back(const TestResult& failed) {
+AnalysisResult CanaryAnalysis::roll_back(const TestResult& failed, TimePoint now) {
+  rolled_back_at_ = now;
   standing_roll_back_ = {Verdict::roll_back, failed.reason, failed.observed, failed.reference};
   return standing_roll_back_;
 }
