Canary analysis: its checks are named checks, so that only files in tests/ end in _test

The statistical checks of production code (failure, latency, ageing, wrong answer, fleet slowdown) read as unit tests by their file and type names.

--- a/src/policy/ageing_test.cpp
+++ b/src/policy/ageing_check.cpp
@@ -1,4 +1,4 @@
-#include "policy/ageing_test.h"
+#include "policy/ageing_check.h"
 
 #include <algorithm>
 #include <cmath>
@@ -62,12 +62,12 @@
 
 }  // namespace
 
-TestResult test_ageing(const CohortStatistics& canary, int build,
-                       const std::vector<EndpointState>& endpoints, const TestContext& context) {
+CheckResult check_ageing(const CohortStatistics& canary, int build,
+                         const std::vector<EndpointState>& endpoints, const CheckContext& context) {
   const double p_value = ageing_p_value(endpoints_by_start(canary, build, endpoints));
   if (p_value < context.significance)
-    return TestResult::failure(AnalysisReason::ageing, p_value, context.significance);
-  return TestResult::undecided(p_value < suspicious_p_value);
+    return CheckResult::failure(AnalysisReason::ageing, p_value, context.significance);
+  return CheckResult::undecided(p_value < suspicious_p_value);
 }
 
 }  // namespace robinhoist
--- a/src/policy/answer_rate_check.cpp
+++ b/src/policy/answer_rate_check.cpp
@@ -65,7 +65,7 @@
   return by_endpoint;
 }
 
-TestResult AnswerRateCheck::run(TimePoint from, const TestContext& context, TimePoint now) const {
+CheckResult AnswerRateCheck::run(TimePoint from, const CheckContext& context, TimePoint now) const {
   if (!many_votes_ || !context.comparable)
     return {};
   Waiting baseline;
@@ -101,8 +101,8 @@
       std::exp(endpoint_spread / std::sqrt(static_cast<double>(endpoints.size() - excluded)));
   const double p_value = 1 - poisson_upper_tail(canary.answers + 1, expected / usual_slowness);
   if (p_value < context.significance)
-    return TestResult::failure(AnalysisReason::answer_rate, canary.answers, expected);
-  return TestResult::undecided(p_value < suspicious_p_value);
+    return CheckResult::failure(AnalysisReason::answer_rate, canary.answers, expected);
+  return CheckResult::undecided(p_value < suspicious_p_value);
 }
 
 }  // namespace robinhoist
--- a/src/policy/answer_rate_check.h
+++ b/src/policy/answer_rate_check.h
@@ -10,7 +10,7 @@
 #include <map>
 #include <utility>
 
-#include "policy/canary_test.h"
+#include "policy/canary_check.h"
 #include "time/time_types.h"
 #include "util/sliding_window.h"
 
@@ -45,7 +45,7 @@
   void build_offered();
 
   /// Fails if the canary gives far fewer answers for its waiting than the baseline since `from`.
-  TestResult run(TimePoint from, const TestContext& context, TimePoint now) const;
+  CheckResult run(TimePoint from, const CheckContext& context, TimePoint now) const;
 
  private:
   struct Waiting {
--- a/src/policy/canary_analysis.cpp
+++ b/src/policy/canary_analysis.cpp
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 
-#include "policy/ageing_test.h"
-#include "policy/failure_test.h"
+#include "policy/ageing_check.h"
+#include "policy/failure_check.h"
 #include "policy/statistics.h"
 
 namespace robinhoist {
@@ -131,7 +131,7 @@
          (release_->phase == ReleasePhase::released && seen_as_canary_);
 }
 
-TestContext CanaryAnalysis::test_context() const {
+CheckContext CanaryAnalysis::context_of_checks() const {
   const bool comparable =
       release_->phase == ReleasePhase::canary && release_->cap < max_comparable_cap;
   return {significance_, many_votes(), comparable};
@@ -143,41 +143,41 @@
     return {};
   if (standing_roll_back_.verdict == Verdict::roll_back)
     return standing_roll_back_;
-  const TestContext context = test_context();
+  const CheckContext context = context_of_checks();
   const FleetObservation fleet{canary_samples_, baseline_samples_, load, now};
-  const TestResult fleet_slowdown = fleet_slowdown_.run(*release_, fleet, context.comparable);
+  const CheckResult fleet_slowdown = fleet_slowdown_.run(*release_, fleet, context.comparable);
   if (fleet_slowdown.failed())
     return roll_back(fleet_slowdown, now);
 
   Cohorts cohorts = collect_cohorts(now);
-  const TestResult ageing = test_ageing(cohorts.canary, release_->build, endpoints, context);
+  const CheckResult ageing = check_ageing(cohorts.canary, release_->build, endpoints, context);
   if (ageing.failed())
     return roll_back(ageing, now);
   exclude_unhealthy_endpoints(cohorts, context.comparable);
 
-  const TestResult failures = test_failures(cohorts.canary, cohorts.baseline, context);
+  const CheckResult failures = check_failures(cohorts.canary, cohorts.baseline, context);
   if (failures.failed())
     return roll_back(failures, now);
-  const TestResult wrong_answers = wrong_answers_.run(release_->build, context);
+  const CheckResult wrong_answers = wrong_answers_.run(release_->build, context);
   if (wrong_answers.failed())
     return roll_back(wrong_answers, now);
   const StageProgress stage = stage_progress(endpoints, now);
-  const TestResult latency =
-      test_latency({cohorts.canary, cohorts.baseline, cohorts.recent_baseline}, stage, context);
+  const CheckResult latency =
+      check_latency({cohorts.canary, cohorts.baseline, cohorts.recent_baseline}, stage, context);
   if (latency.failed())
     return roll_back(latency, now);
 
-  const TestResult answer_rate = answer_rate_.run(counted_from_, context, now);
+  const CheckResult answer_rate = answer_rate_.run(counted_from_, context, now);
   if (answer_rate.failed())
     return roll_back(answer_rate, now);
 
   bool suspicious = false;
-  for (const TestResult& result : {ageing, failures, wrong_answers, latency, answer_rate})
-    suspicious |= result.outcome == TestOutcome::suspicious;
+  for (const CheckResult& result : {ageing, failures, wrong_answers, latency, answer_rate})
+    suspicious |= result.outcome == CheckOutcome::suspicious;
   return without_failed_test(cohorts.canary.total, stage, suspicious, canary_requests_per_s, now);
 }
 
-AnalysisResult CanaryAnalysis::roll_back(const TestResult& failed, TimePoint now) {
+AnalysisResult CanaryAnalysis::roll_back(const CheckResult& failed, TimePoint now) {
   rolled_back_at_ = now;
   standing_roll_back_ = {Verdict::roll_back, failed.reason, failed.observed, failed.reference};
   return standing_roll_back_;
--- a/src/policy/canary_analysis.h
+++ b/src/policy/canary_analysis.h
@@ -1,13 +1,13 @@
 /// Canary analysis: collects evidence on a release, stage by stage, and draws a verdict from it.
 ///
 /// The evidence are the ended attempts of this proxy and the reports of wrong answers. judge()
-/// runs the tests in a fixed order; the first that fails decides:
+/// runs the checks in a fixed order; the first that fails decides:
 ///
-/// 1. fleet slowdown (fleet_slowdown_test.h)
-/// 2. ageing (ageing_test.h)
-/// 3. failures, in all and by request class (failure_test.h)
-/// 4. wrong answers (wrong_answer_test.h)
-/// 5. latency (latency_test.h)
+/// 1. fleet slowdown (fleet_slowdown_check.h)
+/// 2. ageing (ageing_check.h)
+/// 3. failures, in all and by request class (failure_check.h)
+/// 4. wrong answers (wrong_answer_check.h)
+/// 5. latency (latency_check.h)
 /// 6. answers for the time waited (answer_rate_check.h)
 ///
 /// If none fails, a judged stage is promoted where votes move the release, and held for a few
@@ -20,10 +20,10 @@
 #include "policy/answer_rate_check.h"
 #include "policy/cohort_statistics.h"
 #include "policy/endpoint_set.h"
-#include "policy/fleet_slowdown_test.h"
-#include "policy/latency_test.h"
+#include "policy/fleet_slowdown_check.h"
+#include "policy/latency_check.h"
 #include "policy/request.h"
-#include "policy/wrong_answer_test.h"
+#include "policy/wrong_answer_check.h"
 #include "util/sliding_window.h"
 
 namespace robinhoist {
@@ -68,8 +68,8 @@
 
   bool many_votes() const { return settings_.votes_to_roll_back > 1; }
   bool judgeable() const;
-  TestContext test_context() const;
-  AnalysisResult roll_back(const TestResult& failed, TimePoint now);
+  CheckContext context_of_checks() const;
+  AnalysisResult roll_back(const CheckResult& failed, TimePoint now);
   Cohorts collect_cohorts(TimePoint now) const;
   void exclude_unhealthy_endpoints(Cohorts& cohorts, bool comparable) const;
   StageProgress stage_progress(const std::vector<EndpointState>& endpoints, TimePoint now) const;
@@ -90,8 +90,8 @@
   TimePoint held_since_ = long_ago;
   SlidingWindow<Sample> canary_samples_;
   SlidingWindow<Sample> baseline_samples_;
-  FleetSlowdownTest fleet_slowdown_;
-  WrongAnswerTest wrong_answers_;
+  FleetSlowdownCheck fleet_slowdown_;
+  WrongAnswerCheck wrong_answers_;
   AnswerRateCheck answer_rate_;
 };
 
--- a/src/policy/canary_test.h
+++ b/src/policy/canary_check.h
@@ -1,4 +1,4 @@
-/// What the tests of the canary analysis have in common: their result, what they are told of the
+/// What the checks of the canary analysis have in common: their result, what they are told of the
 /// release, and the limits that several of them use.
 #pragma once
 #include "policy/analysis_report.h"
@@ -16,32 +16,32 @@
 inline constexpr double endpoint_spread = 0.22;
 
 /// How a test ended, from harmless to harmful.
-enum class TestOutcome {
+enum class CheckOutcome {
   passed,
   suspicious,  ///< not decided: reason enough to hold, but not to roll back
   failed,      ///< reason to roll back
 };
 
 /// The result of one test. Reason and figures count only for a failed one.
-struct TestResult {
-  TestOutcome outcome = TestOutcome::passed;
+struct CheckResult {
+  CheckOutcome outcome = CheckOutcome::passed;
   AnalysisReason reason = AnalysisReason::none;
   double observed = 0;
   double reference = 0;
 
   /// A failed test with the evidence behind it.
-  static TestResult failure(AnalysisReason reason, double observed, double reference) {
-    return {TestOutcome::failed, reason, observed, reference};
+  static CheckResult failure(AnalysisReason reason, double observed, double reference) {
+    return {CheckOutcome::failed, reason, observed, reference};
   }
   /// An undecided test if `suspicious`, else a passed one.
-  static TestResult undecided(bool suspicious) {
-    return {suspicious ? TestOutcome::suspicious : TestOutcome::passed};
+  static CheckResult undecided(bool suspicious) {
+    return {suspicious ? CheckOutcome::suspicious : CheckOutcome::passed};
   }
-  bool failed() const { return outcome == TestOutcome::failed; }
+  bool failed() const { return outcome == CheckOutcome::failed; }
 };
 
-/// What the tests are told of the release and of this proxy's weight in the vote on it.
-struct TestContext {
+/// What the checks are told of the release and of this proxy's weight in the vote on it.
+struct CheckContext {
   double significance;  ///< p-value under which this proxy's evidence speaks
   bool many_votes;      ///< more than one vote must stand before the release is rolled back
   bool comparable;      ///< enough of the baseline still serves to compare the canary with
--- a/src/policy/cohort_statistics.h
+++ b/src/policy/cohort_statistics.h
@@ -59,7 +59,7 @@
 /// The filter that leaves nothing out.
 bool exclude_none(const Sample& sample);
 
-/// Totals of one cohort, as a whole and by the dimensions that the tests look at.
+/// Totals of one cohort, as a whole and by the dimensions that the checks look at.
 class CohortStatistics {
  public:
   explicit CohortStatistics(int request_classes) : by_request_class(request_classes) {}
--- a/src/policy/failure_test.cpp
+++ b/src/policy/failure_check.cpp
@@ -1,4 +1,4 @@
-#include "policy/failure_test.h"
+#include "policy/failure_check.h"
 
 #include <algorithm>
 
@@ -30,15 +30,15 @@
 // Whether there are enough failures to speak of. Without a baseline beside it only a flood on many
 // endpoints counts: overload and cut links lose answers too.
 bool enough_failures(double failed, double attempts, bool paired, bool widespread,
-                     const TestContext& context) {
+                     const CheckContext& context) {
   if (paired)
     return failed >= min_failures && failed > failure_threshold * attempts;
   const double threshold = flood_threshold / (context.many_votes ? 2 : 1);
   return widespread && failed >= flood_min_failures && failed > threshold * attempts;
 }
 
-TestOutcome judge_failures(const AttemptTotals& canary, const AttemptTotals& baseline,
-                           bool widespread, const TestContext& context) {
+CheckOutcome judge_failures(const AttemptTotals& canary, const AttemptTotals& baseline,
+                            bool widespread, const CheckContext& context) {
   const bool paired = context.comparable && 2 * canary.paired >= canary.attempts;
   const double failed = canary.failed + (paired ? canary.lost : 0);
   const double baseline_failed = baseline.failed + (paired ? baseline.lost : 0);
@@ -53,31 +53,31 @@
       canary.attempts >= min_stage_attempts ? context.significance : context.significance / 10;
   if (enough_failures(failed, canary.attempts, paired, widespread, context) &&
       p_value < significance)
-    return TestOutcome::failed;
-  return failed >= suspicious_failures && p_value < suspicious_p_value ? TestOutcome::suspicious
-                                                                       : TestOutcome::passed;
+    return CheckOutcome::failed;
+  return failed >= suspicious_failures && p_value < suspicious_p_value ? CheckOutcome::suspicious
+                                                                       : CheckOutcome::passed;
 }
 
 }  // namespace
 
-TestResult test_failures(const CohortStatistics& canary, const CohortStatistics& baseline,
-                         const TestContext& context) {
+CheckResult check_failures(const CohortStatistics& canary, const CohortStatistics& baseline,
+                           const CheckContext& context) {
   const bool widespread = failures_widespread(canary);
-  const TestOutcome overall = judge_failures(canary.total, baseline.total, widespread, context);
-  if (overall == TestOutcome::failed)
-    return TestResult::failure(AnalysisReason::failures, canary.total.failed + canary.total.lost,
-                               canary.total.attempts);
-  bool suspicious = overall == TestOutcome::suspicious;
+  const CheckOutcome overall = judge_failures(canary.total, baseline.total, widespread, context);
+  if (overall == CheckOutcome::failed)
+    return CheckResult::failure(AnalysisReason::failures, canary.total.failed + canary.total.lost,
+                                canary.total.attempts);
+  bool suspicious = overall == CheckOutcome::suspicious;
   for (std::size_t index = 0; index < canary.by_request_class.size(); ++index) {
     const AttemptTotals& totals = canary.by_request_class[index];
-    const TestOutcome outcome =
+    const CheckOutcome outcome =
         judge_failures(totals, baseline.by_request_class[index], widespread, context);
-    if (outcome == TestOutcome::failed)
-      return TestResult::failure(AnalysisReason::request_class_failures,
-                                 totals.failed + totals.lost, totals.attempts);
-    suspicious |= outcome == TestOutcome::suspicious;
+    if (outcome == CheckOutcome::failed)
+      return CheckResult::failure(AnalysisReason::request_class_failures,
+                                  totals.failed + totals.lost, totals.attempts);
+    suspicious |= outcome == CheckOutcome::suspicious;
   }
-  return TestResult::undecided(suspicious);
+  return CheckResult::undecided(suspicious);
 }
 
 }  // namespace robinhoist
--- a/src/policy/fleet_slowdown_test.cpp
+++ b/src/policy/fleet_slowdown_check.cpp
@@ -1,4 +1,4 @@
-#include "policy/fleet_slowdown_test.h"
+#include "policy/fleet_slowdown_check.h"
 
 #include <algorithm>
 #include <cmath>
@@ -24,8 +24,8 @@
 
 }  // namespace
 
-TestResult FleetSlowdownTest::run(const ReleaseUpdate& release, const FleetObservation& fleet,
-                                  bool comparable) {
+CheckResult FleetSlowdownCheck::run(const ReleaseUpdate& release, const FleetObservation& fleet,
+                                    bool comparable) {
   if (reference_due_ && release.phase == ReleasePhase::canary && release.stage <= 1)
     update_reference(release, fleet);
   reference_due_ = false;
@@ -33,12 +33,12 @@
   if (!enough || !(comparable || many_votes_) || !slower_than_reference(release, fleet, comparable))
     healthy_at_ = fleet.now;
   if (fleet.now - healthy_at_ >= min_slowdown)
-    return TestResult::failure(AnalysisReason::fleet_slowdown, fleet.load, reference_->load);
+    return CheckResult::failure(AnalysisReason::fleet_slowdown, fleet.load, reference_->load);
   return {};
 }
 
-void FleetSlowdownTest::update_reference(const ReleaseUpdate& release,
-                                         const FleetObservation& fleet) {
+void FleetSlowdownCheck::update_reference(const ReleaseUpdate& release,
+                                          const FleetObservation& fleet) {
   CohortStatistics before(request_classes_);
   before.add(fleet.baseline, window_start(fleet.baseline, fleet.now - min_window), exclude_none);
   const bool known = before.total.latency_samples >= min_answers() && fleet.load > 0;
@@ -50,9 +50,9 @@
     reference_.reset();
 }
 
-bool FleetSlowdownTest::slower_than_reference(const ReleaseUpdate& release,
-                                              const FleetObservation& fleet,
-                                              bool comparable) const {
+bool FleetSlowdownCheck::slower_than_reference(const ReleaseUpdate& release,
+                                               const FleetObservation& fleet,
+                                               bool comparable) const {
   if (!reference_ || release.stage == 0)
     return false;
   CohortStatistics now(request_classes_);
@@ -78,13 +78,13 @@
   return now.total.mean_log_objective_ratio() > usual + slowdown && 5 * slow >= 4 * seen;
 }
 
-double FleetSlowdownTest::min_answers() const {
+double FleetSlowdownCheck::min_answers() const {
   return window_answers * (many_votes_ ? many_votes_share : 1);
 }
 
 // The window is short, or longer where answers are few.
-TimePoint FleetSlowdownTest::window_start(const SlidingWindow<Sample>& samples,
-                                          TimePoint now) const {
+TimePoint FleetSlowdownCheck::window_start(const SlidingWindow<Sample>& samples,
+                                           TimePoint now) const {
   TimePoint start = now;
   if (many_votes_)
     start = samples.size() < window_answers ? long_ago : samples.back(window_answers - 1).ended_at;
--- a/src/policy/fleet_slowdown_test.h
+++ b/src/policy/fleet_slowdown_check.h
@@ -1,9 +1,9 @@
-/// Fleet slowdown test of the canary analysis: whether a release harms the whole fleet, the
+/// Fleet slowdown check of the canary analysis: whether a release harms the whole fleet, the
 /// baseline included.
 #pragma once
 #include <optional>
 
-#include "policy/canary_test.h"
+#include "policy/canary_check.h"
 #include "policy/cohort_statistics.h"
 #include "policy/release.h"
 #include "time/time_types.h"
@@ -18,13 +18,13 @@
   TimePoint now;
 };
 
-/// A release that slows the whole fleet looks healthy beside the baseline. The test compares the
+/// A release that slows the whole fleet looks healthy beside the baseline. The check compares the
 /// fleet with itself before the offer: it fails if nearly all endpoints answer much slower for some
 /// seconds, though no more requests arrive. It errs where other proxies' traffic jumps during a
 /// canary and this one's does not.
-class FleetSlowdownTest {
+class FleetSlowdownCheck {
  public:
-  FleetSlowdownTest(bool many_votes, int request_classes)
+  FleetSlowdownCheck(bool many_votes, int request_classes)
       : many_votes_(many_votes), request_classes_(request_classes) {}
 
   /// A new build is offered: what is known of the fleet before the last one is dropped.
@@ -33,7 +33,7 @@
   void stage_began() { reference_due_ = true; }
 
   /// Call at every analysis of a release; a slowdown must last between the calls.
-  TestResult run(const ReleaseUpdate& release, const FleetObservation& fleet, bool comparable);
+  CheckResult run(const ReleaseUpdate& release, const FleetObservation& fleet, bool comparable);
 
  private:
   /// The fleet before the offer.
--- a/src/policy/latency_test.cpp
+++ b/src/policy/latency_check.cpp
@@ -1,4 +1,4 @@
-#include "policy/latency_test.h"
+#include "policy/latency_check.h"
 
 #include <algorithm>
 #include <cmath>
@@ -40,7 +40,7 @@
 }
 
 // Of a build spread thinly over many endpoints one answer each must do.
-double required_endpoint_samples(const CohortStatistics& canary, const TestContext& context) {
+double required_endpoint_samples(const CohortStatistics& canary, const CheckContext& context) {
   const bool thin = context.many_votes &&
                     canary.total.latency_samples <
                         usual_endpoint_samples * static_cast<double>(canary.by_endpoint.size());
@@ -83,8 +83,8 @@
 
 }  // namespace
 
-TestResult test_latency(const LatencyCohorts& cohorts, const StageProgress& stage,
-                        const TestContext& context) {
+CheckResult check_latency(const LatencyCohorts& cohorts, const StageProgress& stage,
+                          const CheckContext& context) {
   if (!context.comparable || !enough_samples(cohorts, stage))
     return {};
   const double min_samples = required_endpoint_samples(cohorts.canary, context);
@@ -101,7 +101,7 @@
                             canary_p99 > p99_baseline_ratio * baseline_p99;
   // A p99 of so few answers is one endpoint's bad second; the middle must have moved too.
   if (p99_exceeded && difference > significant_difference && stage.window_over && most_slow)
-    return TestResult::failure(AnalysisReason::p99_latency, canary_p99, baseline_p99);
+    return CheckResult::failure(AnalysisReason::p99_latency, canary_p99, baseline_p99);
 
   const bool slower_after_window =
       stage.window_over && difference > significant_difference &&
@@ -109,9 +109,9 @@
   const bool slower_beyond_doubt =
       difference - errors_before_window * confidence * error > min_difference_before_window;
   if (most_slow && (slower_after_window || slower_beyond_doubt))
-    return TestResult::failure(AnalysisReason::latency, std::exp(difference), std::exp(error));
-  return TestResult::undecided(difference > suspicious_difference &&
-                               difference > suspicious_errors * error);
+    return CheckResult::failure(AnalysisReason::latency, std::exp(difference), std::exp(error));
+  return CheckResult::undecided(difference > suspicious_difference &&
+                                difference > suspicious_errors * error);
 }
 
 }  // namespace robinhoist
--- a/src/policy/latency_test.h
+++ b/src/policy/latency_check.h
@@ -1,6 +1,6 @@
-/// Latency test of the canary analysis: whether the canary is slower than the baseline.
+/// Latency check of the canary analysis: whether the canary is slower than the baseline.
 #pragma once
-#include "policy/canary_test.h"
+#include "policy/canary_check.h"
 #include "policy/cohort_statistics.h"
 
 namespace robinhoist {
@@ -23,7 +23,7 @@
 /// Compares warm endpoints only: first the p99 against its ceiling, the latency objective, then
 /// the whole distribution against the baseline's, which shows a slow build long before a p99 of a
 /// few answers can.
-TestResult test_latency(const LatencyCohorts& cohorts, const StageProgress& stage,
-                        const TestContext& context);
+CheckResult check_latency(const LatencyCohorts& cohorts, const StageProgress& stage,
+                          const CheckContext& context);
 
 }  // namespace robinhoist
--- a/src/policy/wrong_answer_test.cpp
+++ b/src/policy/wrong_answer_check.cpp
@@ -1,4 +1,4 @@
-#include "policy/wrong_answer_test.h"
+#include "policy/wrong_answer_check.h"
 
 #include <algorithm>
 
@@ -18,7 +18,7 @@
 
 }  // namespace
 
-TestResult WrongAnswerTest::run(int build, const TestContext& context) const {
+CheckResult WrongAnswerCheck::run(int build, const CheckContext& context) const {
   Answers canary;
   Answers earlier;
   for (const auto& [answered_by, answers] : by_build_) {
@@ -36,8 +36,8 @@
   const bool many = canary.wrong >= min_reports &&
                     canary.wrong > 0.5 * failure_threshold * report_share_ * canary.given;
   if (many && p_value < std::max(min_significance, context.significance))
-    return TestResult::failure(AnalysisReason::wrong_answers, canary.wrong, canary.given);
-  return TestResult::undecided(canary.wrong >= 1 && p_value < suspicious_p_value);
+    return CheckResult::failure(AnalysisReason::wrong_answers, canary.wrong, canary.given);
+  return CheckResult::undecided(canary.wrong >= 1 && p_value < suspicious_p_value);
 }
 
 }  // namespace robinhoist
--- a/src/policy/wrong_answer_test.h
+++ b/src/policy/wrong_answer_check.h
@@ -1,24 +1,24 @@
-/// Wrong answer test of the canary analysis: whether clients report more wrong answers of the
+/// Wrong answer check of the canary analysis: whether clients report more wrong answers of the
 /// canary than of the builds before it.
 #pragma once
 #include <map>
 
-#include "policy/canary_test.h"
+#include "policy/canary_check.h"
 
 namespace robinhoist {
 
 /// Counts answers and reports by build. Reports come seconds after the answer, so the counts are
 /// kept over the stages of a release.
-class WrongAnswerTest {
+class WrongAnswerCheck {
  public:
   /// `report_share` is the part of wrong answers that clients report.
-  explicit WrongAnswerTest(double report_share) : report_share_(report_share) {}
+  explicit WrongAnswerCheck(double report_share) : report_share_(report_share) {}
 
   void answer_passed_on(int build) { by_build_[build].given += 1; }
   void answer_found_wrong(int build) { by_build_[build].wrong += 1; }
 
   /// Judges `build` against all earlier builds.
-  TestResult run(int build, const TestContext& context) const;
+  CheckResult run(int build, const CheckContext& context) const;
 
  private:
   struct Answers {
--- a/tests/answer_rate_check_test.cpp
+++ b/tests/answer_rate_check_test.cpp
@@ -10,7 +10,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr TestContext many_votes{.significance = 0.016, .many_votes = true, .comparable = true};
+constexpr CheckContext many_votes{.significance = 0.016, .many_votes = true, .comparable = true};
 
 class AnswerRateCheckTest : public testing::Test {
  protected:
@@ -29,7 +29,7 @@
     check_.attempt_sent({next_request_++, 0}, canary, endpoint, at(sent));
   }
   void healthy_baseline() { answers(false, {1, 2, 3, 4}, 500ms); }
-  TestOutcome outcome(const TestContext& context = many_votes, Duration from = 0s) const {
+  CheckOutcome outcome(const CheckContext& context = many_votes, Duration from = 0s) const {
     return check_.run(at(from), context, at(5s)).outcome;
   }
 
@@ -42,14 +42,14 @@
   healthy_baseline();
   for (const int endpoint : {11, 12, 13, 14})
     open(true, endpoint, 2s);
-  EXPECT_EQ(outcome(), TestOutcome::failed);
+  EXPECT_EQ(outcome(), CheckOutcome::failed);
 }
 
 TEST_F(AnswerRateCheckTest, AFewOpenAttemptsAreReasonToHold) {
   healthy_baseline();
   for (const int endpoint : {11, 12, 13})
     open(true, endpoint, 4200ms);
-  EXPECT_EQ(outcome(), TestOutcome::suspicious);
+  EXPECT_EQ(outcome(), CheckOutcome::suspicious);
 }
 
 TEST_F(AnswerRateCheckTest, ABuildAsFastAsTheBaselinePasses) {
@@ -57,7 +57,7 @@
   answers(true, {11, 12, 13, 14}, 500ms);
   for (const int endpoint : {11, 12, 13, 14})
     open(true, endpoint, 4700ms);
-  EXPECT_EQ(outcome(), TestOutcome::passed);
+  EXPECT_EQ(outcome(), CheckOutcome::passed);
 }
 
 TEST_F(AnswerRateCheckTest, OneEndpointThatHangsIsNotTheBuilds) {
@@ -65,7 +65,7 @@
   for (int i = 0; i < 8; ++i)
     open(true, 11, 500ms);
   answers(true, {12, 13, 14}, 500ms);
-  EXPECT_EQ(outcome(), TestOutcome::passed);
+  EXPECT_EQ(outcome(), CheckOutcome::passed);
 }
 
 TEST_F(AnswerRateCheckTest, ABaselineThatHangsAsMuchExplainsIt) {
@@ -75,7 +75,7 @@
       open(false, endpoint, 1s);
   for (const int endpoint : {11, 12, 13, 14})
     open(true, endpoint, 2s);
-  EXPECT_EQ(outcome(), TestOutcome::passed);
+  EXPECT_EQ(outcome(), CheckOutcome::passed);
 }
 
 TEST_F(AnswerRateCheckTest, SpeaksOnlyBesideAComparableBaseline) {
@@ -83,7 +83,7 @@
   for (const int endpoint : {11, 12, 13, 14})
     open(true, endpoint, 2s);
   EXPECT_EQ(outcome({.significance = 0.016, .many_votes = true, .comparable = false}),
-            TestOutcome::passed);
+            CheckOutcome::passed);
 }
 
 TEST_F(AnswerRateCheckTest, IsSilentWhereOneVoteRollsBack) {
@@ -91,15 +91,15 @@
   healthy_baseline();
   for (const int endpoint : {11, 12, 13, 14})
     open(true, endpoint, 2s);
-  EXPECT_EQ(outcome(), TestOutcome::passed);
+  EXPECT_EQ(outcome(), CheckOutcome::passed);
 }
 
 TEST_F(AnswerRateCheckTest, OnlyTheWaitingSinceTheStageBeganCounts) {
   healthy_baseline();
   for (const int endpoint : {11, 12, 13, 14})
     open(true, endpoint, 0s);
-  EXPECT_EQ(outcome(many_votes, 3s), TestOutcome::failed);
-  EXPECT_NE(outcome(many_votes, 4500ms), TestOutcome::failed);
+  EXPECT_EQ(outcome(many_votes, 3s), CheckOutcome::failed);
+  EXPECT_NE(outcome(many_votes, 4500ms), CheckOutcome::failed);
 }
 
 TEST_F(AnswerRateCheckTest, NothingOfAnEarlierBuildCounts) {
@@ -107,7 +107,7 @@
   for (const int endpoint : {11, 12, 13, 14})
     open(true, endpoint, 1s);
   check_.build_offered();
-  EXPECT_EQ(outcome(), TestOutcome::passed);
+  EXPECT_EQ(outcome(), CheckOutcome::passed);
 }
 
 TEST_F(AnswerRateCheckTest, WithdrawnAttemptsWereNotWaitedFor) {
@@ -116,7 +116,7 @@
     open(true, endpoint, 1s);
     check_.attempt_withdrawn({next_request_ - 1, 0});
   }
-  EXPECT_EQ(outcome(), TestOutcome::passed);
+  EXPECT_EQ(outcome(), CheckOutcome::passed);
 }
 
 }  // namespace
