Take back the roll-back that outlives its stage: on another site false alarms add up

The scenario roll_back_outlives_its_stage asserted what added and goes with it; nothing older is touched.

--- a/src/policy/canary_analysis.cpp
+++ b/src/policy/canary_analysis.cpp
@@ -87,10 +87,8 @@
     stage_began_at_ = now - release.since;
     fleet_slowdown_.stage_began();
     held_since_ = long_ago;
-    // False alarms of many proxies would add up over the stages; but a vote that is on its way is
-    // not lost to a stage that the clock began.
-    if (many_votes() && now >= rolled_back_at_ + settings_.vote_lifetime)
-      standing_roll_back_ = {};
+    if (many_votes())
+      standing_roll_back_ = {};  // false alarms of many proxies would add up over the stages
     // What is too little to judge a stage by is carried into the next: else quiet proxies never see
     // enough.
     const bool next_stage = same_build && release.phase == ReleasePhase::canary;
@@ -147,29 +145,29 @@
   const FleetObservation fleet{canary_samples_, baseline_samples_, load, now};
   const CheckResult fleet_slowdown = fleet_slowdown_.run(*release_, fleet, context.comparable);
   if (fleet_slowdown.failed())
-    return roll_back(fleet_slowdown, now);
+    return roll_back(fleet_slowdown);
 
   Cohorts cohorts = collect_cohorts(now);
   const CheckResult ageing = check_ageing(cohorts.canary, release_->build, endpoints, context);
   if (ageing.failed())
-    return roll_back(ageing, now);
+    return roll_back(ageing);
   exclude_unhealthy_endpoints(cohorts, context.comparable);
 
   const CheckResult failures = check_failures(cohorts.canary, cohorts.baseline, context);
   if (failures.failed())
-    return roll_back(failures, now);
+    return roll_back(failures);
   const CheckResult wrong_answers = wrong_answers_.run(release_->build, context);
   if (wrong_answers.failed())
-    return roll_back(wrong_answers, now);
+    return roll_back(wrong_answers);
   const StageProgress stage = stage_progress(endpoints, now);
   const CheckResult latency =
       check_latency({cohorts.canary, cohorts.baseline, cohorts.recent_baseline}, stage, context);
   if (latency.failed())
-    return roll_back(latency, now);
+    return roll_back(latency);
 
   const CheckResult answer_rate = answer_rate_.run(counted_from_, context, now);
   if (answer_rate.failed())
-    return roll_back(answer_rate, now);
+    return roll_back(answer_rate);
 
   bool suspicious = false;
   for (const CheckResult& result : {ageing, failures, wrong_answers, latency, answer_rate})
@@ -177,8 +175,7 @@
   return without_failed_test(cohorts.canary.total, stage, suspicious, canary_requests_per_s, now);
 }
 
-AnalysisResult CanaryAnalysis::roll_back(const CheckResult& failed, TimePoint now) {
-  rolled_back_at_ = now;
+AnalysisResult CanaryAnalysis::roll_back(const CheckResult& failed) {
   standing_roll_back_ = {Verdict::roll_back, failed.reason, failed.observed, failed.reference};
   return standing_roll_back_;
 }
--- a/src/policy/canary_analysis.h
+++ b/src/policy/canary_analysis.h
@@ -69,7 +69,7 @@
   bool many_votes() const { return settings_.votes_to_roll_back > 1; }
   bool judgeable() const;
   CheckContext context_of_checks() const;
-  AnalysisResult roll_back(const CheckResult& failed, TimePoint now);
+  AnalysisResult roll_back(const CheckResult& failed);
   Cohorts collect_cohorts(TimePoint now) const;
   void exclude_unhealthy_endpoints(Cohorts& cohorts, bool comparable) const;
   StageProgress stage_progress(const std::vector<EndpointState>& endpoints, TimePoint now) const;
@@ -84,7 +84,6 @@
   std::optional<ReleaseUpdate> release_{};
   bool seen_as_canary_ = false;
   AnalysisResult standing_roll_back_{};
-  TimePoint rolled_back_at_ = long_ago;
   TimePoint stage_began_at_{};
   TimePoint counted_from_{};
   TimePoint held_since_ = long_ago;
