Soak: a client opens its connection in one place

connect() and the resend after a crossed close built the same connection with the same handlers. open_connection() serves both; what is checked is unchanged.

--- a/tests/soak/clients.cpp
+++ b/tests/soak/clients.cpp
@@ -72,13 +72,17 @@
 void Client::connect() {
   if (!may_connect())
     return;
+  open_connection();
+  send_next();
+}
+
+void Client::open_connection() {
   input_.clear();
   first_on_connection_ = true;
   connection_ = std::make_unique<Connection>(
       loop_, port_,
       Connection::Handlers{.on_bytes = [this](std::string_view bytes) { on_bytes(bytes); },
                            .on_closed = [this](CloseKind kind) { on_closed(kind); }});
-  send_next();
 }
 
 void Client::wait_then_send() {
@@ -191,12 +195,7 @@
   schedule(Duration(0), [this] {
     if (!open_)
       return;
-    input_.clear();
-    first_on_connection_ = true;
-    connection_ = std::make_unique<Connection>(
-        loop_, port_,
-        Connection::Handlers{.on_bytes = [this](std::string_view bytes) { on_bytes(bytes); },
-                             .on_closed = [this](CloseKind close) { on_closed(close); }});
+    open_connection();
     if (connection_->open())
       send(true);
     else
--- a/tests/soak/clients.h
+++ b/tests/soak/clients.h
@@ -28,6 +28,7 @@
 
  private:
   void connect();
+  void open_connection();
   void send_next();
   void send(bool again);
   void on_bytes(std::string_view bytes);
