--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -152,6 +152,68 @@
             writer.close()
 
 
+class UsualClient:
+    """Sends one request at a time on a connection that it keeps, and counts how each ended."""
+
+    def __init__(self, record, number, address, results, pause, target="/free-slots/today", wait=1.3):
+        self.record = record
+        self.number = number
+        self.host, port = address.rsplit(":", 1)
+        self.port = int(port)
+        self.results = results
+        self.pause = pause
+        self.target = target
+        self.wait = wait
+        self.check = lambda request_id, body: None
+
+    async def run(self, until):
+        reader = writer = None
+        sequence = 0
+        name = f"client {self.number}"
+        while time.monotonic() < until:
+            await asyncio.sleep(random.expovariate(1 / self.pause))
+            if writer is None:
+                try:
+                    reader, writer = await asyncio.open_connection(self.host, self.port)
+                except OSError:
+                    self.results["not connected"] += 1
+                    continue
+                buffer = bytearray()
+            sequence += 1
+            request_id = f"c{self.number:02d}n{sequence:05d}"
+            writer.write((f"GET {self.target} HTTP/1.1\r\nHost: origin.svc\r\nRequest-Id: {request_id}\r\n"
+                          f"Request-Timeout: 750m\r\n\r\n").encode())
+            self.record.line(name, f"sent {request_id}")
+            message = None
+            try:
+                limit = time.monotonic() + self.wait
+                while message is None:
+                    data = await asyncio.wait_for(reader.read(65536), max(0.01, limit - time.monotonic()))
+                    if not data:
+                        break
+                    buffer += data
+                    message = take_message(buffer)
+            except (asyncio.TimeoutError, ConnectionError):
+                pass
+            if message is None:
+                self.results["no answer"] += 1
+                self.record.line(name, f"no answer to {request_id}")
+                writer.close()
+                writer = None
+                continue
+            status = message[0].split()[1]
+            body = message[2].decode("latin-1")
+            self.record.line(name, f"got {status} for {request_id}: {body.strip()}")
+            self.results[status] += 1
+            if status == "200":
+                self.check(request_id, body)
+            if message[1].get("connection", "").lower() == "close":
+                writer.close()
+                writer = None
+        if writer:
+            writer.close()
+
+
 # ---- The umpire: `run` of the deploy file
 
 def deploy_run():
@@ -287,3 +349,11 @@
                 loop.call_later(self.latency, writer.close)
                 return
             loop.call_later(self.latency, writer.write, data)
+
+
+def finish(coroutine):
+    """Runs a case and ends this process with its status, without waiting for open connections."""
+    loop = asyncio.new_event_loop()
+    asyncio.set_event_loop(loop)
+    status = loop.run_until_complete(coroutine)
+    os._exit(status)
