--- a/review/7/test.cpp
+++ b/review/7/test.cpp
@@ -170,6 +170,7 @@
 int baseline_arrivals = 0;
 int taken = 0;
 int served = 0;
+int wrong_after_news = 0;  // wrong answers that clients got for requests sent later than 150 ms after the news
 
 std::string serve_box(int box, const Message& request) {
   const std::string id = request.header("request-id");
@@ -196,7 +197,7 @@
                                            "\",\"Lane\":\"free-slots\",\"AgeMs\":520}}");
       }).detach();
   }
-  return response(200, "{\"slots\":[9,10,11]}", "Server-Load: cpu_share=0.20\r\n");
+  return response(200, is_wrong ? "{\"slots\":[3]}" : "{\"slots\":[9,10,11]}", "Server-Load: cpu_share=0.20\r\n");
 }
 
 // ---- Clients
@@ -223,6 +224,7 @@
       const std::lock_guard lock(mutex);
       ++taken;
       served += answered && message.status() == 200;
+      wrong_after_news += news_written_ms >= 0 && sent > news_written_ms + 150 && message.body == "{\"slots\":[3]}";
     }
     if (!answered || message.header("connection") == "close") {
       ::close(fd);
@@ -351,10 +353,12 @@
        std::to_string(static_cast<int>(list_written_ms)));
   note("attempts at boxes of build 42: " + std::to_string(before) + " before the news, " + std::to_string(after) +
        " later than 150 ms after it; at the others: " + std::to_string(baseline_arrivals));
+  note("wrong answers to clients whose request came later than that: " + std::to_string(wrong_after_news));
   if (served < taken * 9 / 10 || before < 10)
     finish(2, "the day did not go as planned");
   // Cap 0 shuts the build. 'free' is 1, and 2 attempts above the cap pass.
   if (after > 3)
-    finish(1, std::to_string(after) + " attempts at build 42 after the proxy was told that it goes back");
+    finish(1, std::to_string(after) + " attempts at build 42 after the proxy was told that it goes back; " +
+                  std::to_string(wrong_after_news) + " of them gave a client a wrong answer");
   finish(0, "no more attempts at build 42 after the news: " + std::to_string(after));
 }
