Platform: log lines for release updates that are used and ignored

The rollback is heard 0.2 s after the answer to the vote and at each repeat, and ignored 3 of 3 times: its state seems to have begun 430 ms before the stage that it ends. The stage's own start moved by the 900 ms that the answer was on its way. No behaviour changed.

--- a/src/platform/process.cpp
+++ b/src/platform/process.cpp
@@ -132,6 +132,7 @@
                       {"failed", log::text(counters.failed)},
                       {"client_disconnected", log::text(counters.client_disconnected)},
                       {"attempts", log::text(counters.attempts)},
+                      {"release_updates_ignored", log::text(releases_.ignored())},
                       {"open", log::text(router_.open_requests())},
                       {"clients", log::text(router_.clients())},
                       {"timer_late_us_p99", log::text(loop_.lateness(0.99).value_or(0))}});
--- a/src/platform/release_api.cpp
+++ b/src/platform/release_api.cpp
@@ -8,7 +8,9 @@
 #include "json/writer.h"
 #include "platform/config.h"
 #include "platform/wire_names.h"
+#include "policy/analysis_report.h"
 #include "proxy/vote_outcome.h"
+#include "time/units.h"
 
 namespace robinhoist::platform {
 namespace {
@@ -22,6 +24,9 @@
 constexpr std::size_t max_release_bytes = std::size_t{64} * 1024;
 // Two messages about the same state may differ in its age by their time in transit.
 constexpr Duration same_state_tolerance = 100ms;
+// Where a message about a release came from, for the log.
+constexpr const char* source_watch = "watch";
+constexpr const char* source_vote = "vote";
 
 http::ConnectionPoolSettings vote_connections() {
   http::ConnectionPoolSettings settings;
@@ -76,6 +81,7 @@
 ReleaseApi::ReleaseApi(net::Loop& loop, const std::string& address, const ReleaseUpdate& known,
                        Duration vote_timeout, unsigned seed, const log::Logger& log)
     : loop_(loop),
+      log_(log),
       vote_timeout_(vote_timeout),
       known_(known),
       known_since_(loop.now() - known.since),
@@ -99,7 +105,7 @@
   const std::string type = json::text(event, wire_names::event_type);
   const json::Value& object = json::nested_object(event, wire_names::event_object);
   if (type == wire_names::release_event)
-    accept(decode_release(object));
+    accept(decode_release(object), source_watch);
   else if (type == wire_names::wrong_answer_event && on_wrong_answer_)
     on_wrong_answer_(json::text(object, wire_names::wrong_answer_endpoint),
                      json::duration(object, wire_names::age_ms));
@@ -115,15 +121,41 @@
   return since < known_since_ + (is_regression ? vote_timeout_ : -same_state_tolerance);
 }
 
-void ReleaseApi::accept(const ReleaseUpdate& release) {
+void ReleaseApi::accept(const ReleaseUpdate& release, const char* source) {
   const TimePoint since = loop_.now() - release.since;
-  if (is_outdated(release, since))
+  if (is_outdated(release, since)) {
+    ignore(release, since, source);
     return;
+  }
+  if (progress_of(release) < progress_of(known_) || progress_of(known_) < progress_of(release) ||
+      release.build != known_.build)
+    log_.info("release updated", {{"from", source},
+                                  {"build", log::text(release.build)},
+                                  {"stage", log::text(release.stage)},
+                                  {"phase", to_string(release.phase)},
+                                  {"cap", log::text(release.cap)},
+                                  {"age_ms", log::text(to_millis(release.since))}});
   known_ = release;
   known_since_ = since;
   on_update_(release);
 }
 
+void ReleaseApi::ignore(const ReleaseUpdate& release, TimePoint since, const char* source) {
+  ++ignored_;
+  log_.warn("release update ignored",
+            {{"from", source},
+             {"build", log::text(release.build)},
+             {"stage", log::text(release.stage)},
+             {"phase", to_string(release.phase)},
+             {"cap", log::text(release.cap)},
+             {"age_ms", log::text(to_millis(release.since))},
+             {"begun_ms_after_the_known_one", log::text(to_millis(since - known_since_))},
+             {"known_build", log::text(known_.build)},
+             {"known_stage", log::text(known_.stage)},
+             {"known_phase", to_string(known_.phase)},
+             {"known_age_ms", log::text(to_millis(loop_.now() - known_since_))}});
+}
+
 void ReleaseApi::vote(const proxy::Vote& vote, OnVoteResult on_result) {
   http::Request request;
   request.method = "POST";
@@ -157,7 +189,7 @@
     return;
   }
   on_result(Outcome::ok);
-  accept(release);
+  accept(release, source_vote);
 }
 
 void ReleaseApi::set_address(const std::string& address) {
--- a/src/platform/release_api.h
+++ b/src/platform/release_api.h
@@ -27,15 +27,20 @@
   void on_wrong_answer(OnWrongAnswer handler) { on_wrong_answer_ = std::move(handler); }
   /// Uses the API at a new address. Votes in flight are completed at the old one.
   void set_address(const std::string& address);
+  /// Number of messages that were ignored because they describe an earlier state than the known
+  /// one.
+  long ignored() const { return ignored_; }
 
  private:
   void read_event(const json::Value& event);
   void vote_ended(http::CallResult how, const http::Response& response,
                   const OnVoteResult& on_result);
-  void accept(const ReleaseUpdate& release);
+  void accept(const ReleaseUpdate& release, const char* source);
+  void ignore(const ReleaseUpdate& release, TimePoint since, const char* source);
   bool is_outdated(const ReleaseUpdate& release, TimePoint since) const;
 
   net::Loop& loop_;
+  const log::Logger& log_;
   Duration vote_timeout_;
   ReleaseUpdate known_;
   TimePoint known_since_;  // when the release entered the known state
@@ -44,6 +49,7 @@
   Watch watch_;
   OnUpdate on_update_{};
   OnWrongAnswer on_wrong_answer_{};
+  long ignored_ = 0;
 };
 
 }  // namespace robinhoist::platform
