Platform: order messages about the release by their states, not by their arrival

Cause: is_outdated compared the beginnings of states, worked out as arrival less age. Each delay of a message moves its beginning later, also that of a repeat, so a later state could seem to have begun earlier (log line of: begun_ms_after_the_known_one=-429.811).

Change: ReleaseTracker orders by build, phase and stage. A release only moves forward, so no delay can turn that order round. The lowest beginning is kept for the age.

Tests, before and after: five of ReleaseApiOrder failed before and pass now; late_vote_response_does_not_restore_an_earlier_stage passes as before (moved into the fixture, the same checks).

--- a/src/platform/release_api.cpp
+++ b/src/platform/release_api.cpp
@@ -1,6 +1,5 @@
 #include "platform/release_api.h"
 
-#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -22,11 +21,6 @@
 constexpr Duration max_retry_delay = 2s;
 constexpr std::size_t max_votes_in_flight = 4;
 constexpr std::size_t max_release_bytes = std::size_t{64} * 1024;
-// Two messages about the same state may differ in its age by their time in transit.
-constexpr Duration same_state_tolerance = 100ms;
-// Where a message about a release came from, for the log.
-constexpr const char* source_watch = "watch";
-constexpr const char* source_vote = "vote";
 
 http::ConnectionPoolSettings vote_connections() {
   http::ConnectionPoolSettings settings;
@@ -37,27 +31,12 @@
   return settings;
 }
 
-// The position of a release in its life cycle: stages of the canary, released, rolled back.
-struct Progress {
-  int phase;
-  int stage;
-  friend bool operator<(const Progress& a, const Progress& b) {
-    return a.phase != b.phase ? a.phase < b.phase : a.stage < b.stage;
-  }
-};
-
-Progress progress_of(const ReleaseUpdate& release) {
-  switch (release.phase) {
-    case ReleasePhase::canary:
-      return {.phase = 0, .stage = release.stage};
-    case ReleasePhase::released:
-      return {.phase = 1, .stage = 0};
-    case ReleasePhase::rolling_back:
-      return {.phase = 2, .stage = 0};
-    case ReleasePhase::rolled_back:
-      break;
-  }
-  return {.phase = 3, .stage = 0};
+const char* to_string(ReleaseMessageSource source) {
+  return source == ReleaseMessageSource::watch ? "watch" : "vote";
+}
+
+std::string age_ms(const ReleaseUpdate& release) {
+  return log::text(to_millis(release.since));
 }
 
 Outcome vote_call_outcome(http::CallResult how, const http::Response& response) {
@@ -83,17 +62,14 @@
     : loop_(loop),
       log_(log),
       vote_timeout_(vote_timeout),
-      known_(known),
-      known_since_(loop.now() - known.since),
+      tracker_(known, loop.now()),
       connections_(std::make_unique<http::ConnectionPool>(loop, Poco::Net::SocketAddress(address),
                                                           vote_connections())),
       watch_(loop, address, watch_settings(seed), log) {}
 
 void ReleaseApi::start(OnUpdate on_update) {
   on_update_ = std::move(on_update);
-  ReleaseUpdate at_start = known_;
-  at_start.since = std::max(Duration{}, loop_.now() - known_since_);
-  on_update_(at_start);
+  on_update_(tracker_.known(loop_.now()));
   watch_.start([] { return std::string(wire_names::release_watch_path); },
                [this](const json::Value& event) { read_event(event); });
 }
@@ -105,55 +81,44 @@
   const std::string type = json::text(event, wire_names::event_type);
   const json::Value& object = json::nested_object(event, wire_names::event_object);
   if (type == wire_names::release_event)
-    accept(decode_release(object), source_watch);
+    accept(decode_release(object), ReleaseMessageSource::watch);
   else if (type == wire_names::wrong_answer_event && on_wrong_answer_)
     on_wrong_answer_(json::text(object, wire_names::wrong_answer_endpoint),
                      json::duration(object, wire_names::age_ms));
 }
 
-// Responses to votes and watch events may arrive out of order, or from a former address of the API.
-bool ReleaseApi::is_outdated(const ReleaseUpdate& release, TimePoint since) const {
-  if (release.build != known_.build)
-    return release.build < known_.build;
-  // The age in a response does not include its time in transit, which may be as long as the vote
-  // timeout. Such a response must not bring back the cap of an earlier stage.
-  const bool is_regression = progress_of(release) < progress_of(known_);
-  return since < known_since_ + (is_regression ? vote_timeout_ : -same_state_tolerance);
-}
-
-void ReleaseApi::accept(const ReleaseUpdate& release, const char* source) {
-  const TimePoint since = loop_.now() - release.since;
-  if (is_outdated(release, since)) {
-    ignore(release, since, source);
-    return;
+void ReleaseApi::accept(const ReleaseUpdate& release, ReleaseMessageSource source) {
+  const TimePoint now = loop_.now();
+  switch (tracker_.receive(release, source, now)) {
+    case ReleaseChange::outdated:
+      ignore(release, source);
+      return;
+    case ReleaseChange::advanced:
+      log_.info("release updated", {{"from", to_string(source)},
+                                    {"build", log::text(release.build)},
+                                    {"stage", log::text(release.stage)},
+                                    {"phase", to_string(release.phase)},
+                                    {"cap", log::text(release.cap)},
+                                    {"age_ms", age_ms(release)}});
+      break;
+    case ReleaseChange::repeated:
+      break;
   }
-  if (progress_of(release) < progress_of(known_) || progress_of(known_) < progress_of(release) ||
-      release.build != known_.build)
-    log_.info("release updated", {{"from", source},
-                                  {"build", log::text(release.build)},
-                                  {"stage", log::text(release.stage)},
-                                  {"phase", to_string(release.phase)},
-                                  {"cap", log::text(release.cap)},
-                                  {"age_ms", log::text(to_millis(release.since))}});
-  known_ = release;
-  known_since_ = since;
-  on_update_(release);
+  on_update_(tracker_.known(now));
 }
 
-void ReleaseApi::ignore(const ReleaseUpdate& release, TimePoint since, const char* source) {
+void ReleaseApi::ignore(const ReleaseUpdate& release, ReleaseMessageSource source) {
   ++ignored_;
-  log_.warn("release update ignored",
-            {{"from", source},
-             {"build", log::text(release.build)},
-             {"stage", log::text(release.stage)},
-             {"phase", to_string(release.phase)},
-             {"cap", log::text(release.cap)},
-             {"age_ms", log::text(to_millis(release.since))},
-             {"begun_ms_after_the_known_one", log::text(to_millis(since - known_since_))},
-             {"known_build", log::text(known_.build)},
-             {"known_stage", log::text(known_.stage)},
-             {"known_phase", to_string(known_.phase)},
-             {"known_age_ms", log::text(to_millis(loop_.now() - known_since_))}});
+  const ReleaseUpdate known = tracker_.known(loop_.now());
+  log_.warn("release update ignored", {{"from", to_string(source)},
+                                       {"build", log::text(release.build)},
+                                       {"stage", log::text(release.stage)},
+                                       {"phase", to_string(release.phase)},
+                                       {"age_ms", age_ms(release)},
+                                       {"known_build", log::text(known.build)},
+                                       {"known_stage", log::text(known.stage)},
+                                       {"known_phase", to_string(known.phase)},
+                                       {"known_age_ms", age_ms(known)}});
 }
 
 void ReleaseApi::vote(const proxy::Vote& vote, OnVoteResult on_result) {
@@ -189,7 +154,7 @@
     return;
   }
   on_result(Outcome::ok);
-  accept(release, source_vote);
+  accept(release, ReleaseMessageSource::vote_response);
 }
 
 void ReleaseApi::set_address(const std::string& address) {
--- a/src/platform/release_api.h
+++ b/src/platform/release_api.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "http/connection_pool.h"
+#include "platform/release_tracker.h"
 #include "platform/watch.h"
 #include "proxy/release_source.h"
 
@@ -35,15 +36,13 @@
   void read_event(const json::Value& event);
   void vote_ended(http::CallResult how, const http::Response& response,
                   const OnVoteResult& on_result);
-  void accept(const ReleaseUpdate& release, const char* source);
-  void ignore(const ReleaseUpdate& release, TimePoint since, const char* source);
-  bool is_outdated(const ReleaseUpdate& release, TimePoint since) const;
+  void accept(const ReleaseUpdate& release, ReleaseMessageSource source);
+  void ignore(const ReleaseUpdate& release, ReleaseMessageSource source);
 
   net::Loop& loop_;
   const log::Logger& log_;
   Duration vote_timeout_;
-  ReleaseUpdate known_;
-  TimePoint known_since_;  // when the release entered the known state
+  ReleaseTracker tracker_;
   std::unique_ptr<http::ConnectionPool> connections_;
   std::vector<std::unique_ptr<http::ConnectionPool>> former_connections_{};  // with votes in flight
   Watch watch_;
--- a/tests/platform_fixture.h
+++ b/tests/platform_fixture.h
@@ -11,6 +11,7 @@
 
 #include "http/server.h"
 #include "net/loop.h"
+#include "time/time_types.h"
 
 namespace robinhoist::tests {
 
@@ -64,9 +65,15 @@
          ",\"complete\":" + (complete ? "true" : "false") + ",\"members\":[" + endpoint + "]}\n";
 }
 
-inline std::string release_json(int build, int stage, const char* state) {
+inline std::string release_json(int build, int stage, const char* state, Duration age = {}) {
   return "{\"Revision\":" + std::to_string(build) + ",\"Wave\":" + std::to_string(stage) +
-         ",\"State\":\"" + state + "\",\"MaxShare\":0.5,\"AgeMs\":0}";
+         ",\"State\":\"" + state +
+         "\",\"MaxShare\":0.5,\"AgeMs\":" + std::to_string(age.count() / 1000) + "}";
+}
+
+/// A release as a line of the watch.
+inline std::string release_event(const std::string& release) {
+  return R"({"type":"ROLLOUT","object":)" + release + "}\n";
 }
 
 }  // namespace robinhoist::tests
--- a/tests/platform_services_test.cpp
+++ b/tests/platform_services_test.cpp
@@ -1,6 +1,7 @@
 // The clients of the platform's services: discovery and the release API.
 #include <gmock/gmock.h>
 
+#include <deque>
 #include <functional>
 #include <optional>
 
@@ -238,35 +239,154 @@
   EXPECT_THAT(wrong, ElementsAre("s1"));
 }
 
+/// A release API whose watch and answers to votes are written by the test, one after the other.
+class ReleaseApiOrder : public PlatformService {
+ protected:
+  static constexpr Duration vote_timeout = 2s;
+
+  // Begins with this release in the configuration file, and a vote.
+  void start(const ReleaseUpdate& known) {
+    api_.emplace(loop_, service_.address(), known, vote_timeout, 1, log_);
+    api_->start([this](const ReleaseUpdate& release) {
+      updates_.emplace_back(release.stage, release.phase);
+      last_age_ = release.since;
+    });
+    api_->vote({2, known.stage, Verdict::roll_back}, [](Outcome) {});
+  }
+  void answer_vote(const std::string& release) {
+    steps_.emplace_back([this, release] { vote_->answer(http::json_response(200, release)); });
+  }
+  void write_watch(const std::string& release) {
+    steps_.emplace_back([this, release] { watch_->write(release_event(release)); });
+  }
+  void advance(Duration time) {
+    steps_.emplace_back([this, time] {
+      loop_.advance(time);
+      ++processed_otherwise_;
+    });
+  }
+  // Takes each step when the message of the one before has been processed.
+  void play() {
+    loop_.in(max_play_time, [this] { loop_.stop(); });
+    take_next_step();
+    loop_.run();
+    ASSERT_TRUE(steps_.empty()) << "a message was not processed";
+  }
+  // The age is as of the time when the message was made, which may be before it is delivered.
+  static std::string state(int stage, const char* phase, Duration age) {
+    return release_json(2, stage, phase, age);
+  }
+
+  std::vector<std::pair<int, ReleasePhase>> updates_{};  // stage and phase
+  Duration last_age_{};
+  std::optional<platform::ReleaseApi> api_{};
+
+ private:
+  static constexpr Duration poll_interval = 2ms;
+  static constexpr Duration max_play_time = 30s;
+
+  long processed() const {
+    return static_cast<long>(updates_.size()) + api_->ignored() + processed_otherwise_;
+  }
+  void take_next_step() {
+    const bool connected = watch_ && vote_;
+    if (connected && processed() > steps_taken_) {
+      if (steps_.empty()) {
+        loop_.stop();
+        return;
+      }
+      const auto step = steps_.front();
+      steps_.pop_front();
+      ++steps_taken_;
+      step();
+    }
+    loop_.in(poll_interval, [this] { take_next_step(); });
+  }
+
+  http::ExchangePtr watch_{};
+  http::ExchangePtr vote_{};
+  ScriptedService service_{loop_, [this](const http::ExchangePtr& exchange) {
+                             if (exchange->request.target != "/v1/watch") {
+                               vote_ = exchange;
+                               return;
+                             }
+                             exchange->begin_stream({});
+                             watch_ = exchange;
+                           }};
+  std::deque<std::function<void()>> steps_{};
+  long steps_taken_ = 0;
+  long processed_otherwise_ = 0;
+};
+
 // The response to a vote may arrive after its stage has ended. It must not restore that stage's
 // cap.
-TEST_F(ReleaseApi, late_vote_response_does_not_restore_an_earlier_stage) {
-  http::ExchangePtr watch;
-  http::ExchangePtr vote;
-  ScriptedService service(loop_, [&](const http::ExchangePtr& exchange) {
-    if (exchange->request.target != "/v1/watch") {
-      vote = exchange;
-      return;
-    }
-    exchange->begin_stream({});
-    watch = exchange;
-  });
-  platform::ReleaseApi api(loop_, service.address(),
-                           ReleaseUpdate{2, 0, ReleasePhase::canary, 0.1, 1s}, 200ms, 1, log_);
-  std::vector<std::pair<int, ReleasePhase>> updates;
-  api.start(
-      [&](const ReleaseUpdate& release) { updates.emplace_back(release.stage, release.phase); });
-  api.vote({2, 0, Verdict::roll_back}, [](Outcome) {});
-  // The age in the response was correct when it was sent.
-  loop_.in(100ms,
-           [&] { vote->answer(http::json_response(200, release_json(2, 0, "IN_PROGRESS"))); });
-  loop_.in(50ms, [&] {
-    watch->write(R"({"type":"ROLLOUT","object":)" + release_json(2, 1, "ROLLING_BACK") + "}\n");
-  });
-  run_loop_for(200ms);
-  EXPECT_THAT(updates,
+TEST_F(ReleaseApiOrder, late_vote_response_does_not_restore_an_earlier_stage) {
+  start({2, 0, ReleasePhase::canary, 0.1, 1s});
+  write_watch(state(1, "ROLLING_BACK", 0ms));
+  advance(50ms);
+  answer_vote(state(0, "IN_PROGRESS", 1s));
+  play();
+  EXPECT_THAT(updates_,
               ElementsAre(Pair(0, ReleasePhase::canary), Pair(1, ReleasePhase::rolling_back)));
 }
 
+// Guards against a rollback that is ignored, because the response to a vote, on its way for 0.9 s,
+// made the stage before it seem to have begun later than the rollback.
+TEST_F(ReleaseApiOrder, late_vote_response_does_not_hide_the_next_state) {
+  start({2, 0, ReleasePhase::canary, 0.1, 1s});
+  write_watch(state(1, "IN_PROGRESS", 150ms));
+  advance(900ms);
+  answer_vote(state(1, "IN_PROGRESS", 151ms));
+  advance(200ms);
+  write_watch(state(1, "ROLLING_BACK", 780ms));
+  play();
+  EXPECT_THAT(updates_,
+              ElementsAre(Pair(0, ReleasePhase::canary), Pair(1, ReleasePhase::canary),
+                          Pair(1, ReleasePhase::canary), Pair(1, ReleasePhase::rolling_back)));
+}
+
+// Guards against the same where the delayed response is the first to bring the stage.
+TEST_F(ReleaseApiOrder, first_message_of_a_stage_does_not_hide_the_next_state_if_it_is_late) {
+  start({2, 0, ReleasePhase::canary, 0.1, 1s});
+  advance(900ms);
+  answer_vote(state(1, "IN_PROGRESS", 0ms));
+  write_watch(state(1, "ROLLING_BACK", 500ms));
+  play();
+  EXPECT_THAT(updates_, ElementsAre(Pair(0, ReleasePhase::canary), Pair(1, ReleasePhase::canary),
+                                    Pair(1, ReleasePhase::rolling_back)));
+}
+
+// Guards against a rollback that is ignored after a restart: the age in the configuration file is
+// as of the time when the file was written.
+TEST_F(ReleaseApiOrder, old_configuration_file_does_not_hide_the_next_state) {
+  start({2, 1, ReleasePhase::canary, 0.1, 300ms});
+  write_watch(state(1, "ROLLING_BACK", 30s));
+  play();
+  EXPECT_THAT(updates_,
+              ElementsAre(Pair(1, ReleasePhase::canary), Pair(1, ReleasePhase::rolling_back)));
+}
+
+// Guards against a cap that comes back: the watch tells a past stage later than the response to a
+// vote has told its end, by more than the vote timeout.
+TEST_F(ReleaseApiOrder, late_watch_event_does_not_restore_an_earlier_stage) {
+  start({2, 0, ReleasePhase::canary, 0.1, 1s});
+  answer_vote(state(1, "ROLLING_BACK", 0ms));
+  advance(2500ms);
+  write_watch(state(1, "IN_PROGRESS", 50ms));
+  play();
+  EXPECT_THAT(updates_,
+              ElementsAre(Pair(0, ReleasePhase::canary), Pair(1, ReleasePhase::rolling_back)));
+}
+
+// Guards against a stage that becomes younger by the delay of a message that repeats it.
+TEST_F(ReleaseApiOrder, delayed_repeat_keeps_the_age_of_a_state) {
+  start({2, 1, ReleasePhase::canary, 0.1, 1s});
+  advance(900ms);
+  answer_vote(state(1, "IN_PROGRESS", 1s));
+  play();
+  ASSERT_EQ(updates_.size(), 2u);
+  EXPECT_GE(last_age_, 1900ms);
+}
+
 }  // namespace
 }  // namespace robinhoist
