Proxy: reports of wrong answers count against the build that gave them

Seen: five reports about attempts of 5 s ago made the proxy vote to roll back a build that had begun at that endpoint just then, within 0.2 s and without one answer of it. Cause: report_wrong_answer took the build at the time of arrival; the age in the report was dropped in platform::Process.

Change: UpstreamPool keeps when an endpoint's build began there (start in the list); a report about an attempt before that is counted and not passed on. Test red before: WrongAnswerReports.about_an_earlier_build_do_not_count_against_its_successor; the second test, a restart with the same build, passes before and after.

--- a/src/platform/process.cpp
+++ b/src/platform/process.cpp
@@ -72,8 +72,9 @@
       router_(loop_, router_settings(config_), config_.module_settings, protocol_, log_, endpoints_,
               releases_),
       signals_(loop_, {SIGTERM, SIGINT, SIGHUP}, [this](int signal) { on_signal(signal); }) {
-  releases_.on_wrong_answer(
-      [this](const std::string& endpoint, Duration) { router_.report_wrong_answer(endpoint); });
+  releases_.on_wrong_answer([this](const std::string& endpoint, Duration ago) {
+    router_.report_wrong_answer(endpoint, ago);
+  });
 }
 
 void Process::on_signal(int signal) {
@@ -124,18 +125,21 @@
 
 void Process::log_statistics(const char* message) const {
   const proxy::ProxyCounters& counters = router_.counters();
-  log_.info(message, {{"accepted", log::text(counters.accepted)},
-                      {"rejected_before_routing", log::text(counters.rejected_before_routing)},
-                      {"succeeded", log::text(counters.succeeded)},
-                      {"late", log::text(counters.late)},
-                      {"rejected", log::text(counters.rejected)},
-                      {"failed", log::text(counters.failed)},
-                      {"client_disconnected", log::text(counters.client_disconnected)},
-                      {"attempts", log::text(counters.attempts)},
-                      {"release_updates_ignored", log::text(releases_.ignored())},
-                      {"open", log::text(router_.open_requests())},
-                      {"clients", log::text(router_.clients())},
-                      {"timer_late_us_p99", log::text(loop_.lateness(0.99).value_or(0))}});
+  log_.info(message,
+            {{"accepted", log::text(counters.accepted)},
+             {"rejected_before_routing", log::text(counters.rejected_before_routing)},
+             {"succeeded", log::text(counters.succeeded)},
+             {"late", log::text(counters.late)},
+             {"rejected", log::text(counters.rejected)},
+             {"failed", log::text(counters.failed)},
+             {"client_disconnected", log::text(counters.client_disconnected)},
+             {"attempts", log::text(counters.attempts)},
+             {"release_updates_ignored", log::text(releases_.ignored())},
+             {"wrong_answer_reports", log::text(counters.wrong_answer_reports)},
+             {"outdated_wrong_answer_reports", log::text(counters.outdated_wrong_answer_reports)},
+             {"open", log::text(router_.open_requests())},
+             {"clients", log::text(router_.clients())},
+             {"timer_late_us_p99", log::text(loop_.lateness(0.99).value_or(0))}});
 }
 
 void Process::log_memory() const {
--- a/src/proxy/admin_server.cpp
+++ b/src/proxy/admin_server.cpp
@@ -55,7 +55,7 @@
 http::Response AdminServer::report_wrong_answer(const http::Request& request) {
   try {
     const std::string endpoint = json::text(json::parse_object(request.body), wire_names::endpoint);
-    if (router_.report_wrong_answer(endpoint))
+    if (router_.report_wrong_answer(endpoint, Duration{}))
       return http::json_response(200, "{}");
     return http::text_response(404, "no node " + endpoint + "\n");
   } catch (const json::DecodeError& error) {
--- a/src/proxy/proxy_counters.h
+++ b/src/proxy/proxy_counters.h
@@ -21,6 +21,8 @@
   long endpoint_updates = 0;
   long release_updates = 0;
   long wrong_answer_reports = 0;
+  /// Reports about an earlier build of the endpoint; not passed on to the canary analysis.
+  long outdated_wrong_answer_reports = 0;
 };
 
 }  // namespace robinhoist::proxy
--- a/src/proxy/router.cpp
+++ b/src/proxy/router.cpp
@@ -193,10 +193,14 @@
   run_engine();
 }
 
-bool Router::report_wrong_answer(const std::string& endpoint) {
+bool Router::report_wrong_answer(const std::string& endpoint, Duration ago) {
   const std::optional<int> index = upstreams_.find(endpoint);
   if (!index)
     return false;
+  if (upstreams_.at(*index).build_started_after(loop_.now() - ago)) {
+    ++counters_.outdated_wrong_answer_reports;
+    return true;
+  }
   ++counters_.wrong_answer_reports;
   engine_.wrong_answer_reported(*index);
   run_engine();
--- a/src/proxy/router.h
+++ b/src/proxy/router.h
@@ -66,9 +66,10 @@
 
   /// Applies an endpoint list that was stored before the start and may be out of date.
   void use_cached_endpoints(const registry::Update& update);
-  /// Reports that a client found a response of this endpoint wrong. Returns false if the endpoint
-  /// is not known.
-  bool report_wrong_answer(const std::string& endpoint);
+  /// Reports that a client found a response of this endpoint wrong, to an attempt that was sent
+  /// this long ago. A report about an earlier process of the endpoint is only counted, because the
+  /// endpoint may run another build now. Returns false if the endpoint is not known.
+  bool report_wrong_answer(const std::string& endpoint, Duration ago);
 
   int port() const { return server_->port(); }
   /// Number of requests without a response yet.
--- a/src/proxy/status_report.cpp
+++ b/src/proxy/status_report.cpp
@@ -19,6 +19,7 @@
   out.put("list_news", counters.endpoint_updates);
   out.put("release_news", counters.release_updates);
   out.put("wrong_reports", counters.wrong_answer_reports);
+  out.put("outdated_wrong_reports", counters.outdated_wrong_answer_reports);
 }
 
 // Lateness of timers in microseconds; omitted until a timer has run.
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -45,9 +45,11 @@
     if (!index)
       continue;
     Upstream& upstream = at(*index);
+    changes.push_back(info_of(*index, entry));
+    if (upstream.build != entry.build)
+      upstream.build_started = changes.back().started;
     upstream.build = entry.build;
     upstream.phase = entry.phase;
-    changes.push_back(info_of(*index, entry));
   }
   refresh_connections();
   if (const std::size_t ignored = std::exchange(above_maximum_, 0); ignored > 0)
--- a/src/proxy/upstream_pool.h
+++ b/src/proxy/upstream_pool.h
@@ -27,9 +27,15 @@
   std::string name{};
   int build = 0;
   EndpointPhase phase = EndpointPhase::removed;
+  TimePoint build_started{};  ///< start of its first process with this build; zero: long ago
   std::unique_ptr<http::ConnectionPool> connections{};
   int in_flight = 0;                 ///< attempts that have not ended
   TimePoint last_listed = long_ago;  ///< time of the last update in which it was not removed
+
+  /// Whether another build may have run here at this time.
+  bool build_started_after(TimePoint time) const {
+    return build_started != TimePoint{} && build_started > time;
+  }
 };
 
 class UpstreamPool {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -3,6 +3,7 @@
 #include <gmock/gmock.h>
 #include <malloc.h>
 
+#include <algorithm>
 #include <cstddef>
 #include <filesystem>
 #include <thread>
@@ -214,6 +215,78 @@
 }
 
 // One attempt is waiting for its connection, another for its response.
+// An endpoint that is replaced by a new process under the same name and address.
+class WrongAnswerReports : public testing::Test {
+ protected:
+  void list(int build, WallTime started) {
+    platform_.proxy.loop.call([&] {
+      const int port = platform_.proxy.scripted.at("a")->port();
+      const registry::Endpoint endpoint{.name = "a",
+                                        .address = "127.0.0.1:" + std::to_string(port),
+                                        .zone = "here",
+                                        .build = build,
+                                        .started = started};
+      platform_.proxy.endpoints.on_update(
+          {.series = "s", .version = ++version_, .complete = false, .entries = {endpoint}});
+    });
+  }
+  void begin_canary(int build) {
+    platform_.proxy.loop.call([&] {
+      platform_.proxy.releases.on_update({build, 0, ReleasePhase::canary, 0.5, Duration{}});
+    });
+  }
+  // Reports some answers to attempts that were sent this long ago.
+  void report(Duration ago) {
+    constexpr int reports = 5;
+    platform_.proxy.loop.call([&] {
+      for (int i = 0; i < reports; ++i)
+        EXPECT_TRUE(platform_.proxy.router->report_wrong_answer("a", ago));
+    });
+  }
+  bool votes_to_roll_back(Duration within) {
+    constexpr Duration poll_interval = 10ms;
+    for (Duration waited{}; waited < within; waited += poll_interval) {
+      bool voted = false;
+      platform_.proxy.loop.call([&] {
+        const auto& votes = platform_.proxy.releases.votes;
+        voted = std::find(votes.begin(), votes.end(), Verdict::roll_back) != votes.end();
+      });
+      if (voted)
+        return true;
+      std::this_thread::sleep_for(poll_interval);
+    }
+    return false;
+  }
+
+  PlatformFixture platform_{config_text()};
+
+ private:
+  void SetUp() override {
+    platform_.proxy.loop.call([this] { platform_.proxy.step({"node", "a", "ok"}); });
+  }
+  int version_ = 1;
+};
+
+// Guards against a good build that is voted back for wrong answers of the build before it: clients
+// report them seconds later, when the endpoint may already run the next build.
+TEST_F(WrongAnswerReports, about_an_earlier_build_do_not_count_against_its_successor) {
+  list(2, net::wall_now());
+  begin_canary(2);
+  report(5s);
+  EXPECT_FALSE(votes_to_roll_back(500ms));
+  report(0s);
+  EXPECT_TRUE(votes_to_roll_back(20s));
+}
+
+// A restart of the endpoint with the same build takes nothing from the evidence on it.
+TEST_F(WrongAnswerReports, about_an_earlier_process_count_if_it_had_the_same_build) {
+  list(2, WallTime{});
+  list(2, net::wall_now());
+  begin_canary(2);
+  report(5s);
+  EXPECT_TRUE(votes_to_roll_back(20s));
+}
+
 TEST(Router, can_be_destroyed_with_requests_open) {
   PlatformFixture platform(config_text());
   ProxyFixture& fixture = platform.proxy;
