Platform: late endpoint lists with a long time between them are no new series

Cause: only the arrival of the first older list was kept, and any one 6 s later passed for proof that only older ones had come since.

--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -48,22 +48,29 @@
   watch_.restart();
 }
 
+void Discovery::set_address(const std::string& address) {
+  older_lists_.reset();
+  watch_.set_address(address);
+}
+
 void Discovery::accept(const registry::Update& update) {
   if (update.version < version_)
     reject_unless_new_series(update);
-  first_older_at_.reset();
+  older_lists_.reset();
   version_ = update.version;
   on_update_(update);
 }
 
 // Throws for a list that is older than the known one. If only older lists arrive for longer than a
 // change may take to propagate, the service has restarted with a new series of versions, and its
-// next complete list is accepted.
+// next complete list is accepted. Lists with a long time between them are late ones: the watch is
+// opened again at once after each, and a new series would be repeated.
 void Discovery::reject_unless_new_series(const registry::Update& update) {
-  if (!first_older_at_)
-    first_older_at_ = loop_.now();
+  const TimePoint now = loop_.now();
+  const bool continues = older_lists_ && now <= older_lists_->last_at + max_idle_time;
+  older_lists_ = {.first_at = continues ? older_lists_->first_at : now, .last_at = now};
   const bool is_new_series =
-      update.complete && loop_.now() >= *first_older_at_ + propagation_deadline;
+      update.complete && now >= older_lists_->first_at + propagation_deadline;
   if (!is_new_series)
     throw json::DecodeError("revision " + std::to_string(update.version) +
                             " is older than the one held, " + std::to_string(version_));
--- a/src/platform/discovery.h
+++ b/src/platform/discovery.h
@@ -19,16 +19,20 @@
   void start(OnUpdate on_update) override;
   void refresh() override;
   /// Reconnects to the service at a new address.
-  void set_address(const std::string& address) { watch_.set_address(address); }
+  void set_address(const std::string& address);
 
  private:
+  // An unbroken run of lists older than the known one.
+  struct OlderLists {
+    TimePoint first_at;
+    TimePoint last_at;
+  };
   void accept(const registry::Update& update);
   void reject_unless_new_series(const registry::Update& update);
 
   net::Loop& loop_;
-  std::int64_t version_;
-  // When the first of an unbroken run of lists older than version_ arrived.
-  std::optional<TimePoint> first_older_at_{};
+  std::int64_t version_;  // of the newest list
+  std::optional<OlderLists> older_lists_{};
   OnUpdate on_update_{};
   Watch watch_;
 };
