Platform: a refresh of the endpoint list is neither lost nor lets an older list in

Seen (test, red before): a change that is delivered between refresh() and the new watch takes the place of the complete list (watches from=7, 9, 9 instead of 7, 0, 0), and while the known version was 0 an older list would pass. Cause: one variable was both what is known and where to resume, and a restarted watch went on delivering. Change: two variables; a restart ends the current watch at once.

--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -39,12 +39,12 @@
 
 void Discovery::start(OnUpdate on_update) {
   on_update_ = std::move(on_update);
-  watch_.start([this] { return wire_names::discovery_path + std::to_string(version_); },
+  watch_.start([this] { return target(); },
                [this](const json::Value& object) { accept(decode_endpoints(object)); });
 }
 
 void Discovery::refresh() {
-  version_ = 0;
+  needs_complete_list_ = true;
   watch_.restart();
 }
 
@@ -53,11 +53,18 @@
   watch_.set_address(address);
 }
 
+// A watch from version 0 begins with the complete list.
+std::string Discovery::target() const {
+  return wire_names::discovery_path + std::to_string(needs_complete_list_ ? 0 : version_);
+}
+
 void Discovery::accept(const registry::Update& update) {
   if (update.version < version_)
     reject_unless_new_series(update);
   older_lists_.reset();
   version_ = update.version;
+  if (update.complete)
+    needs_complete_list_ = false;
   on_update_(update);
 }
 
--- a/src/platform/discovery.h
+++ b/src/platform/discovery.h
@@ -27,11 +27,13 @@
     TimePoint first_at;
     TimePoint last_at;
   };
+  std::string target() const;
   void accept(const registry::Update& update);
   void reject_unless_new_series(const registry::Update& update);
 
   net::Loop& loop_;
-  std::int64_t version_;  // of the newest list
+  std::int64_t version_;              // of the newest list
+  bool needs_complete_list_ = false;  // requested by refresh() and not received yet
   std::optional<OlderLists> older_lists_{};
   OnUpdate on_update_{};
   Watch watch_;
--- a/src/platform/watch.cpp
+++ b/src/platform/watch.cpp
@@ -39,6 +39,8 @@
 }
 
 void Watch::restart() {
+  if (stream_)
+    stream_->stop();
   loop_.cancel(timer_);
   timer_ = loop_.in(0s, [this] { request(); });
 }
@@ -48,8 +50,6 @@
     return;
   address_ = address;
   backoff_.reset();
-  if (stream_)
-    stream_->stop();
   restart();
 }
 
@@ -83,7 +83,8 @@
   return received;
 }
 
-// Returns the number of complete objects.
+// Returns the number of complete objects. Those behind an object whose handler restarts the watch
+// are not delivered.
 std::size_t Watch::deliver_objects(std::string& body) {
   for (std::size_t objects = 0;; ++objects) {
     const json::FrameStatus framed = framer_.next(body);
@@ -92,6 +93,8 @@
     if (framed == json::FrameStatus::incomplete)
       return objects;
     on_object_(json::parse_object(framer_.object()));
+    if (!stream_->running())
+      return objects + 1;
   }
 }
 
--- a/src/platform/watch.h
+++ b/src/platform/watch.h
@@ -43,7 +43,8 @@
   Watch& operator=(const Watch&) = delete;
 
   void start(Target target, OnObject on_object);
-  /// Replaces the current request by a new one without delay.
+  /// Replaces the current request by a new one without delay. Nothing more is delivered from the
+  /// current one.
   void restart();
   /// Closes the connection and watches another address.
   void set_address(const std::string& address);
--- a/tests/platform_services_test.cpp
+++ b/tests/platform_services_test.cpp
@@ -173,6 +173,42 @@
   on_rejected = [] {};
 }
 
+// Guards against a refresh that is lost or lets an older list in: until the complete list arrives,
+// the watch asks for it, and lists older than the known one are rejected.
+TEST_F(Discovery, refresh_gets_the_complete_list_and_no_older_one) {
+  int connections = 0;
+  ScriptedService service(loop_, [&](const http::ExchangePtr& exchange) {
+    exchange->begin_stream({});
+    switch (++connections) {
+      case 1:
+        exchange->write(endpoint_list(8, false) + endpoint_list(9, false));
+        break;
+      case 2:
+        exchange->write(endpoint_list(5, true));
+        break;
+      case 3:
+        exchange->write(endpoint_list(10, true));
+        break;
+      default:
+        loop_.stop();
+    }
+  });
+  platform::Discovery discovery(loop_, service.address(), known_version,
+                                platform::Discovery::watch_settings(1), log_);
+  discovery.start([&](const registry::Update& update) {
+    versions_.push_back(update.version);
+    if (update.version == 8)
+      discovery.refresh();
+    if (update.version == 10)
+      loop_.stop();
+  });
+  run_loop_for(max_run_time);
+  EXPECT_THAT(versions_, ElementsAre(8, 10));
+  EXPECT_THAT(service.targets,
+              ElementsAre("/discovery/hosts?watch=1&from=7", "/discovery/hosts?watch=1&from=0",
+                          "/discovery/hosts?watch=1&from=0"));
+}
+
 // A change counts as known 6 s after it was made. A broken watch is detected early enough for two
 // retries within that time.
 TEST_F(Discovery, detects_an_idle_connection_in_time) {
