Proxy: a refresh from inside an update of the registry leaves one poll

Seen (test, red before): refresh() called by the handler of an update began a second poll beside the first, four requests in place of three, whose responses may come in any order. Change: scheduling a poll replaces the one that is scheduled.

--- a/src/proxy/http_endpoint_source.cpp
+++ b/src/proxy/http_endpoint_source.cpp
@@ -37,8 +37,13 @@
   series_.clear();
   version_ = 0;
   connections_.cancel(call_);
+  poll_in(Duration(0));
+}
+
+// Replaces the next poll, if one is scheduled.
+void HttpEndpointSource::poll_in(Duration delay) {
   loop_.cancel(timer_);
-  poll();
+  timer_ = loop_.in(delay, [this] { poll(); });
 }
 
 void HttpEndpointSource::poll() {
@@ -57,8 +62,7 @@
   set_failing(!succeeded, how, response);
   if (succeeded)
     backoff_.reset();
-  const Duration delay = succeeded ? Duration(0) : backoff_.next_delay();
-  timer_ = loop_.in(delay, [this] { poll(); });
+  poll_in(succeeded ? Duration(0) : backoff_.next_delay());
 }
 
 // Applies the response. Returns false if it is not valid.
--- a/src/proxy/http_endpoint_source.h
+++ b/src/proxy/http_endpoint_source.h
@@ -25,6 +25,7 @@
 
  private:
   void poll();
+  void poll_in(Duration delay);
   void poll_ended(http::CallResult how, const http::Response& response);
   bool accept(const http::Response& response);
   void set_failing(bool failing, http::CallResult how, const http::Response& response);
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -2,6 +2,7 @@
 // event loop.
 #include <gmock/gmock.h>
 
+#include "proxy/http_endpoint_source.h"
 #include "proxy/http_protocol.h"
 #include "proxy/watch_release_source.h"
 #include "proxy_fixture.h"
@@ -115,6 +116,37 @@
   EXPECT_GT(heartbeats_.size(), 4u);
 }
 
+// Guards against two polls side by side, whose responses may arrive out of order: a refresh from
+// inside an update replaces the next poll, and asks for the complete list.
+TEST(HttpEndpointSource, refresh_inside_an_update_leaves_one_poll) {
+  net::Loop loop{net::steady_now()};
+  const log::Logger log{"test", "off"};
+  std::vector<std::string> targets;
+  std::vector<http::ExchangePtr> open_polls;
+  http::Server server(loop, http::ServerSettings{}, [&](const http::ExchangePtr& exchange) {
+    targets.push_back(exchange->request.target);
+    const registry::Update list{
+        .series = "s", .version = static_cast<std::int64_t>(targets.size()), .complete = true};
+    if (targets.size() <= 2)
+      exchange->answer(http::json_response(200, registry::encode(list)));
+    else if (targets.size() == 3)
+      loop.in(100ms, [&] { loop.stop(); });
+    open_polls.push_back(exchange);
+  });
+  proxy::HttpEndpointSource source(loop, "127.0.0.1:" + std::to_string(server.port()), "u", 1, log);
+  std::vector<std::int64_t> versions;
+  source.start([&](const registry::Update& update) {
+    versions.push_back(update.version);
+    if (versions.size() == 1)
+      source.refresh();
+  });
+  loop.in(60s, [&] { loop.stop(); });
+  loop.run();
+  EXPECT_THAT(versions, ElementsAre(1, 2));
+  EXPECT_THAT(targets, ElementsAre(HasSubstr("series=&since=0"), HasSubstr("series=&since=0"),
+                                   HasSubstr("series=s&since=2")));
+}
+
 // The lateness of timers is not checked here; it is measured by benchmarks.
 TEST(Loop, timers_run_in_order_and_not_early) {
   net::Loop loop(net::steady_now());
