--- a/tests/soak/endpoints.cpp
+++ b/tests/soak/endpoints.cpp
@@ -35,13 +35,14 @@
     servers_.push_back(std::make_unique<http::Server>(
         loop, http::ServerSettings{},
         [this, &endpoint](const http::ExchangePtr& exchange) { handle(endpoint, exchange); }));
-    observer.endpoint_started(endpoint.name);
+    observer.endpoint_started(endpoint.name, endpoint.build);
   }
 }
 
 void Endpoints::handle(const EndpointPlan& endpoint, const http::ExchangePtr& exchange) {
   const http::Headers& headers = exchange->request.headers;
   const Arrival arrival{.endpoint = endpoint.name,
+                        .build = endpoint.build,
                         .request_id = std::string(headers.get("Request-Id")),
                         .key = std::string(headers.get("Idempotency-Key")),
                         .kind = kind_of(exchange->request.target),
--- a/tests/soak/endpoints.h
+++ b/tests/soak/endpoints.h
@@ -21,6 +21,7 @@
 
   std::size_t count() const { return servers_.size(); }
   const std::string& name(std::size_t endpoint) const { return plan_.endpoints[endpoint].name; }
+  int build(std::size_t endpoint) const { return plan_.endpoints[endpoint].build; }
   int port(std::size_t endpoint) const { return servers_[endpoint]->port(); }
 
   /// Resets all connections of a randomly chosen endpoint.
--- a/tests/soak/observer.cpp
+++ b/tests/soak/observer.cpp
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 #include "record/meta.h"
+#include "rollout/names.h"
 
 namespace robinhoist::soak {
 namespace {
@@ -17,6 +19,9 @@
 // this.
 constexpr Duration max_timeout_excess = 150ms;
 constexpr Duration socket_slack = 50ms;
+// A roll back binds this long after it was sent, and this many later attempts at the canary pass.
+constexpr Duration rollback_grace = 150ms;
+constexpr int max_attempts_after_rollback = 2;
 constexpr const char* proxy_name = "n0";
 constexpr const char* zone = "here";
 
@@ -38,7 +43,7 @@
   meta.uncapped_attempts = 1;
   meta.collapse_multiple = 4;
   meta.initial_warm_up_factor = 0.3;
-  meta.caps = {1};
+  meta.caps = {0.5, 1};
   meta.tenants = {"all"};
   meta.request_classes = {{.name = "look", .latency_objective = 300ms, .deadline = 400ms},
                           {.name = "book",
@@ -94,12 +99,12 @@
   record::proxy_process_event(proxies_, loop_.now(), proxy_name, "stop");
 }
 
-void Observer::endpoint_started(const std::string& name) {
+void Observer::endpoint_started(const std::string& name, int build) {
   record::server_started(endpoints_, loop_.now(),
                          {.endpoint = name,
                           .zone = zone,
                           .cell = 1,
-                          .build = 1,
+                          .build = build,
                           .started = {},
                           .cold = false,
                           .cores = 1,
@@ -110,8 +115,19 @@
   record::endpoints_notified(updates_, loop_.now(), proxy_name, entries, complete);
 }
 
-void Observer::release_sent() {
-  record::release_notified(updates_, loop_.now(), proxy_name, 1, 0, "released", 1);
+void Observer::release_sent(const ReleaseUpdate& release) {
+  // In a run, a release enters each stage and phase once and in order.
+  const auto order = [](const ReleaseUpdate& update) {
+    return std::pair(static_cast<int>(update.phase), update.stage);
+  };
+  const bool is_earlier = release_ && order(release) < order(*release_);
+  if (is_earlier)
+    return;
+  if (!release_ || order(*release_) < order(release))
+    release_sent_at_ = loop_.now();
+  release_ = release;
+  record::release_notified(updates_, loop_.now(), proxy_name, release.build, release.stage,
+                           rollout::api_name(release.phase), release.cap);
 }
 
 long Observer::attempt_arrived(const Arrival& arrival, bool rejected) {
@@ -119,7 +135,7 @@
   const std::string name = std::string(proxy_name) + "." + arrival.request_id;
   record::request_arrived(endpoints_, stalls_.earliest(), rejected ? "refused" : "taken",
                           {.endpoint = arrival.endpoint,
-                           .build = 1,
+                           .build = arrival.build,
                            .work_id = attempt_id,
                            .request_class = static_cast<int>(arrival.kind),
                            .request_name = name,
@@ -128,9 +144,21 @@
                            .key = arrival.key,
                            .work = "0"});
   check_arrival(arrival);
+  check_rollback(arrival);
   return attempt_id;
 }
 
+void Observer::check_rollback(const Arrival& arrival) {
+  const bool rolled_back = release_ && release_->phase == ReleasePhase::rolling_back &&
+                           stalls_.earliest() > release_sent_at_ + rollback_grace;
+  if (!rolled_back || arrival.build < release_->build)
+    return;
+  if (++attempts_after_rollback_ == max_attempts_after_rollback + 1)
+    add_breach("more than " + std::to_string(max_attempts_after_rollback) +
+               " attempts at the canary after its rollback, the last " +
+               to_ms(stalls_.earliest() - release_sent_at_) + " after it was announced");
+}
+
 void Observer::check_arrival(const Arrival& arrival) {
   const auto request = requests_.find(arrival.request_id);
   if (request == requests_.end()) {
--- a/tests/soak/observer.h
+++ b/tests/soak/observer.h
@@ -2,12 +2,14 @@
 /// among the auditor's five rules.
 #pragma once
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
 #include "net/loop.h"
+#include "policy/release.h"
 #include "record/lines.h"
 #include "record/record.h"
 #include "time/time_types.h"
@@ -51,6 +53,7 @@
 /// An attempt as received by an endpoint.
 struct Arrival {
   std::string endpoint{};
+  int build = 0;
   std::string request_id{};
   std::string key{};
   RequestKind kind{};
@@ -64,9 +67,11 @@
 
   void proxy_started();
   void proxy_ended();
-  void endpoint_started(const std::string& name);
+  void endpoint_started(const std::string& name, int build);
   void list_sent(const std::vector<registry::Endpoint>& entries, bool complete);
-  void release_sent();
+  /// A message about the release was sent to the proxy. One about an earlier state than another
+  /// message before it changes nothing.
+  void release_sent(const ReleaseUpdate& release);
 
   /// Returns the id of the attempt in the record.
   long attempt_arrived(const Arrival& arrival, bool rejected);
@@ -94,6 +99,7 @@
     bool forwarded = false;
   };
   void check_arrival(const Arrival& arrival);
+  void check_rollback(const Arrival& arrival);
 
   net::Loop& loop_;
   StallMonitor stalls_;
@@ -104,6 +110,9 @@
   std::unordered_map<std::string, SentRequest> requests_{};
   std::map<std::string, int> outcome_counts_{};
   std::vector<std::string> breaches_{};
+  std::optional<ReleaseUpdate> release_{};  // the latest state that was sent
+  TimePoint release_sent_at_{};             // when it was first sent
+  int attempts_after_rollback_ = 0;
   long next_attempt_id_ = 1;
   long next_request_id_ = 1;
 };
--- a/tests/soak/plan.cpp
+++ b/tests/soak/plan.cpp
@@ -14,6 +14,9 @@
 constexpr Duration min_kill_delay = 3s;
 constexpr Duration kill_margin = 700ms;
 constexpr std::uint32_t partial_requests_sequence = 1000000;
+constexpr std::uint32_t canary_sequence = 2000000;
+// Time for the stages of a canary and the news of its rollback.
+constexpr Duration canary_duration = 5s;
 
 class PlanGenerator {
  public:
@@ -33,6 +36,7 @@
     draw_signals();
     draw_faults();
     draw_partial_requests();
+    draw_canary();
     return plan_;
   }
 
@@ -115,6 +119,33 @@
       plan_.partial_requests_at = between(100ms, plan_.terminate);
   }
 
+  // As above. News of a change takes 0.15 to 0.78 s, and the answer to a vote may take as long as
+  // the vote timeout, here 1.2 s. In most runs it arrives between the roll back and the news of it.
+  void draw_canary() {
+    random_.seed(plan_.seed + canary_sequence);
+    if (plan_.list_stall || !chance(0.5))
+      return;
+    plan_.canary = {.second_stage = between(1s, 2s),
+                    .rollback_delay = between(50ms, 300ms),
+                    .stage_news_delay = between(150ms, chance(0.7) ? 250ms : 780ms),
+                    .rollback_news_delay = between(chance(0.7) ? 600ms : 150ms, 780ms)};
+    const Duration rollback_news = plan_.canary->rollback_delay + plan_.canary->rollback_news_delay;
+    plan_.canary->vote_delay =
+        chance(0.7) ? between(plan_.canary->rollback_delay, rollback_news) : between(0ms, 1100ms);
+    plan_.endpoints.push_back(
+        {.name = canary_name, .build = canary_build, .min_delay = 5ms, .max_delay = 30ms});
+    postpone_end(canary_duration);
+  }
+
+  void postpone_end(Duration time) {
+    for (SignalEvent& signal : plan_.signals)
+      if (signal.at >= plan_.terminate)
+        signal.at += time;
+    plan_.terminate += time;
+    plan_.last_connect += time;
+    plan_.kill += time;
+  }
+
   std::mt19937 random_;
   Plan plan_{};
 };
@@ -137,6 +168,8 @@
     text += ", partial requests";
   if (list_stall)
     text += ", silent list";
+  if (canary)
+    text += ", canary";
   if (!drains.empty())
     text += ", drain";
   if (!resets.empty())
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -9,6 +9,10 @@
 
 namespace robinhoist::soak {
 
+inline constexpr int released_build = 1;
+inline constexpr int canary_build = 2;
+inline constexpr const char* canary_name = "canary";
+
 /// The change of the configuration file before a SIGHUP.
 enum class ConfigChange {
   none,
@@ -25,6 +29,7 @@
 
 struct EndpointPlan {
   std::string name{};
+  int build = released_build;
   Duration min_delay{};
   Duration max_delay{};
   double hang_share = 0;    ///< of requests that are never answered
@@ -37,6 +42,15 @@
   std::size_t endpoint = 0;
 };
 
+/// A canary that is rolled back for wrong answers. The messages about it are late.
+struct CanaryPlan {
+  Duration second_stage{};    ///< when it begins
+  Duration rollback_delay{};  ///< from the proxy's first vote in the second stage to the roll back
+  Duration stage_news_delay{};
+  Duration rollback_news_delay{};
+  Duration vote_delay{};  ///< of the answers to votes
+};
+
 struct Plan {
   std::uint32_t seed = 0;
   std::vector<EndpointPlan> endpoints{};
@@ -49,6 +63,7 @@
   std::optional<Duration> bad_clients_at{};  ///< many misbehaving clients connect
   /// Clients send most of a large request and stop; together more than the program's memory.
   std::optional<Duration> partial_requests_at{};
+  std::optional<CanaryPlan> canary{};
   int clients = 0;
   double disconnect_share = 0;  ///< of requests whose client disconnects before the response
   Duration terminate{};         ///< the first SIGTERM
--- a/tests/soak/run.cpp
+++ b/tests/soak/run.cpp
@@ -48,11 +48,14 @@
         observer_(loop_, folder_, seed),
         endpoints_(loop_, plan_, observer_),
         list_(observer_),
+        release_(loop_, plan_, observer_,
+                 [this](const std::string& line) { return write_release_watches(line); }),
         bad_clients_(loop_, port_, observer_, plan_.seed + 2) {
     for (std::size_t i = 0; i < endpoints_.count(); ++i)
       list_.add({.name = endpoints_.name(i),
                  .address = "127.0.0.1:" + std::to_string(endpoints_.port(i)),
-                 .zone = "here"});
+                 .zone = "here",
+                 .build = endpoints_.build(i)});
     add_services();
     write_config(whole_config());
   }
@@ -75,7 +78,7 @@
  private:
   std::string config_file() const { return folder_ + "/config.json"; }
 
-  void add_services() { services_.push_back(std::make_unique<Services>(loop_, list_, observer_)); }
+  void add_services() { services_.push_back(std::make_unique<Services>(loop_, list_, release_)); }
 
   std::string whole_config() const {
     const std::string address = services_.back()->address();
@@ -84,7 +87,24 @@
     text = tests::replace_once(text, "127.0.0.1:1", address);
     text = tests::replace_once(text, R"("memory_mb": 64)",
                                R"("memory_mb": )" + std::to_string(memory_mb()));
-    return tests::replace_once(text, "127.0.0.1:1", address);
+    text = tests::replace_once(text, "127.0.0.1:1", address);
+    return plan_.canary ? with_canary(text) : text;
+  }
+
+  // The release is rolled back by two votes of three, whose answers may take 1.2 s.
+  std::string with_canary(std::string text) const {
+    const std::size_t news = text.find(R"("news": )") + std::string_view(R"("news": )").size();
+    text.replace(news, text.find('}', news) + 1 - news, release_.announced_json());
+    text = tests::replace_once(text, R"("balancers": 1)", R"("balancers": 3)");
+    text = tests::replace_once(text, R"("call_timeout_ms": 200.0)", R"("call_timeout_ms": 1200.0)");
+    return tests::replace_once(text, R"("votes_to_revert": 1)", R"("votes_to_revert": 2)");
+  }
+
+  bool write_release_watches(const std::string& line) {
+    bool any = false;
+    for (const auto& services : services_)
+      any = services->write_release_watches(line) || any;
+    return any;
   }
 
   int memory_mb() const { return plan_.partial_requests_at ? small_memory_mb : usual_memory_mb; }
@@ -130,6 +150,7 @@
     if (plan_.partial_requests_at)
       timers_.at(start + *plan_.partial_requests_at,
                  [this] { bad_clients_.send_large_partial_requests(partial_request_count); });
+    release_.start(start);
     watch_memory();
     terminate_at_ = start + plan_.terminate;
     timers_.at(start + plan_.kill, [this] { kill_proxy(); });
@@ -217,6 +238,7 @@
   Observer observer_;
   Endpoints endpoints_;
   EndpointList list_;
+  Release release_;
   std::vector<std::unique_ptr<Services>> services_{};
   std::vector<std::unique_ptr<Client>> clients_{};
   BadClients bad_clients_;
--- a/tests/soak/services.cpp
+++ b/tests/soak/services.cpp
@@ -10,8 +10,6 @@
 // Release watches get each keepalive, list watches every second one.
 constexpr Duration keepalive_interval = 1s;
 constexpr Duration retired_connection_lifetime = 1500ms;
-constexpr const char* release =
-    R"({"Revision":1,"Wave":0,"State":"COMPLETE","MaxShare":1.0,"AgeMs":9000})";
 
 }  // namespace
 
@@ -28,7 +26,8 @@
     const char* phase = entry.phase == EndpointPhase::ready ? "ready" : "draining";
     members += std::string(members.empty() ? "" : ",") + R"({"id":")" + entry.name +
                R"(","host_port":")" + entry.address + R"(","locality":"here","flavor":"m",)" +
-               R"("cell":1,"phase":")" + phase + R"(","size":1.0,"up_since_ms":0,"build":1})";
+               R"("cell":1,"phase":")" + phase + R"(","size":1.0,"up_since_ms":0,"build":)" +
+               std::to_string(entry.build) + "}";
   }
   return "{\"revision\":" + std::to_string(version_) +
          ",\"complete\":" + (complete ? "true" : "false") + ",\"members\":[" + members + "]}\n";
@@ -46,10 +45,10 @@
   observer_.list_sent(complete ? entries_ : std::vector{entries_[last_changed_]}, complete);
 }
 
-Services::Services(net::Loop& loop, EndpointList& list, Observer& observer)
+Services::Services(net::Loop& loop, EndpointList& list, Release& release)
     : timers_(loop),
       list_(list),
-      observer_(observer),
+      release_(release),
       server_(loop, http::ServerSettings{},
               [this](const http::ExchangePtr& exchange) { handle(exchange); }) {
   send_keepalives();
@@ -68,14 +67,14 @@
 
 void Services::handle(const http::ExchangePtr& exchange) {
   if (exchange->request.target == "/v1/verdicts") {
-    exchange->answer(http::json_response(200, release));
+    release_.answer_vote(exchange);
     return;
   }
   exchange->begin_stream({});
   if (exchange->request.target == "/v1/watch") {
     release_watches_.push_back(exchange);
-    exchange->write(std::string("{\"type\":\"ROLLOUT\",\"object\":") + release + "}\n");
-    observer_.release_sent();
+    exchange->write(release_.news_line());
+    release_.record_news_sent();
     return;
   }
   list_watches_.push_back(exchange);
@@ -91,6 +90,13 @@
   }
 }
 
+bool Services::write_release_watches(const std::string& line) {
+  bool any = false;
+  for (const http::ExchangePtr& watch : release_watches_)
+    any = (!watch->client_disconnected() && watch->write(line)) || any;
+  return any;
+}
+
 void Services::stall_list_watches() {
   // The connections are kept open without further data.
   timers_.in(1h, [stalled = std::exchange(list_watches_, {})] {});
--- a/tests/soak/services.h
+++ b/tests/soak/services.h
@@ -7,6 +7,7 @@
 #include "net/loop.h"
 #include "observer.h"
 #include "registry/registry.h"
+#include "release.h"
 
 namespace robinhoist::soak {
 
@@ -37,7 +38,7 @@
 /// Both services at one address.
 class Services {
  public:
-  Services(net::Loop& loop, EndpointList& list, Observer& observer);
+  Services(net::Loop& loop, EndpointList& list, Release& release);
   ~Services();
   Services(const Services&) = delete;
   Services& operator=(const Services&) = delete;
@@ -45,6 +46,8 @@
   std::string address() const { return "127.0.0.1:" + std::to_string(server_.port()); }
   /// Writes the last change to all open watches of the list.
   void push_change();
+  /// Writes a line to all open watches of the release. Returns whether there was one.
+  bool write_release_watches(const std::string& line);
   /// Sends no more data on the open list watches. New watches are served normally.
   void stall_list_watches();
   /// Stops accepting connections, and closes the open ones a little later.
@@ -56,7 +59,7 @@
 
   net::Timers timers_;
   EndpointList& list_;
-  Observer& observer_;
+  Release& release_;
   std::vector<http::ExchangePtr> list_watches_{};
   std::vector<http::ExchangePtr> release_watches_{};
   int ticks_ = 0;
--- a/tests/soak_options_test.cpp
+++ b/tests/soak_options_test.cpp
@@ -46,6 +46,7 @@
   constexpr long seeds = 1000;
   int plans_with_reload_after_shutdown = 0;
   int plans_with_bad_clients = 0;
+  int plans_with_canary = 0;
   for (long seed = 1; seed <= seeds; ++seed) {
     const Plan plan = draw_plan(seed);
     ASSERT_EQ(plan.kill, plan.terminate + 3700ms) << seed;
@@ -60,9 +61,19 @@
     ASSERT_EQ(first_term->at, plan.terminate) << seed;
     plans_with_reload_after_shutdown += plan.signals.back().number == SIGHUP ? 1 : 0;
     plans_with_bad_clients += plan.bad_clients_at ? 1 : 0;
+    if (!plan.canary)
+      continue;
+    ++plans_with_canary;
+    for (const Duration delay : {plan.canary->stage_news_delay, plan.canary->rollback_news_delay}) {
+      ASSERT_GE(delay, 150ms) << seed;
+      ASSERT_LE(delay, 780ms) << seed;
+    }
+    ASSERT_LT(plan.canary->vote_delay, 1200ms) << seed;  // the vote timeout
+    ASSERT_LT(plan.canary->second_stage + 3s, plan.terminate) << seed;
   }
   EXPECT_GT(plans_with_reload_after_shutdown, seeds / 10);
   EXPECT_GT(plans_with_bad_clients, seeds / 4);
+  EXPECT_GT(plans_with_canary, seeds / 4);
 }
 
 }  // namespace
