--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -79,7 +79,8 @@
   else if (result == ParseResult::complete)
     finish_call();
   update_charge();
-  enforce_memory_limit();
+  if (pool_)
+    enforce_memory_limit(pool_->loop_.now());
 }
 
 std::optional<TimePoint> ClientConnection::releasable_since() const {
@@ -92,11 +93,6 @@
   end(CallResult::discarded);
 }
 
-void ClientConnection::enforce_memory_limit() {
-  if (pool_ && pool_->settings_.memory)
-    pool_->settings_.memory->enforce(pool_->loop_.now());
-}
-
 void ClientConnection::on_closed(net::Stream& stream, net::CloseReason reason) {
   const auto self = shared_from_this();
   if (busy() && reason == net::CloseReason::by_peer && reader_.begun() &&
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -59,7 +59,6 @@
   void note_reuse(bool failed);
   void report(CallResult result, Response&& response);
   void update_charge();
-  void enforce_memory_limit();
 
   ConnectionPool* pool_;  // null once the connection has ended
   std::shared_ptr<ConnectionBudget> budget_;
--- a/src/http/memory_budget.cpp
+++ b/src/http/memory_budget.cpp
@@ -91,4 +91,9 @@
     budget_->holders_.erase(position_);
 }
 
+void RegisteredMemoryHolder::enforce_memory_limit(TimePoint now) {
+  if (budget_)
+    budget_->enforce(now);
+}
+
 }  // namespace robinhoist::http
--- a/src/http/memory_budget.h
+++ b/src/http/memory_budget.h
@@ -105,6 +105,10 @@
   RegisteredMemoryHolder(const RegisteredMemoryHolder&) = delete;
   RegisteredMemoryHolder& operator=(const RegisteredMemoryHolder&) = delete;
 
+ protected:
+  /// Enforces the limit of the budget, if there is one; see MemoryBudget::enforce().
+  void enforce_memory_limit(TimePoint now);
+
  private:
   std::shared_ptr<MemoryBudget> budget_;
   std::list<MemoryHolder*>::iterator position_{};
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "http/serializer.h"
+#include "http/status.h"
 
 namespace robinhoist::http {
 namespace {
@@ -67,12 +68,8 @@
   const auto self = shared_from_this();
   read_requests();
   update_charges();
-  enforce_memory_limit();
-}
-
-void ServerConnection::enforce_memory_limit() {
-  if (server_ && server_->settings_.memory)
-    server_->settings_.memory->enforce(server_->loop_.now());
+  if (server_)
+    enforce_memory_limit(server_->loop_.now());
 }
 
 std::optional<TimePoint> ServerConnection::releasable_since() const {
@@ -84,7 +81,7 @@
 void ServerConnection::release_memory() {
   const bool is_partial = !closing_ && reader_.begun();
   if (is_partial && stream_->unwritten() == 0)
-    reject(503, "no room: come again");
+    reject(status_service_unavailable, overload_message);
   else
     close();
 }
@@ -178,7 +175,7 @@
     return;
   }
   if (state->cost == CloseCost::partial_request)
-    reject(503, "no room: come again");
+    reject(status_service_unavailable, overload_message);
   close();
 }
 
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -79,7 +79,6 @@
   void report_disconnect();
   void limit_input_to_header();
   void update_charges();
-  void enforce_memory_limit();
 
   Server* server_;  // null once the connection has ended
   std::shared_ptr<net::Stream> stream_;
--- a/src/http/status.h
+++ b/src/http/status.h
@@ -1,4 +1,5 @@
-/// HTTP status codes (RFC 9110, section 15; RFC 6585) that clients of the project's APIs handle.
+/// HTTP status codes (RFC 9110, section 15; RFC 6585) that the project's clients and servers
+/// handle.
 #pragma once
 
 namespace robinhoist::http {
@@ -7,5 +8,9 @@
 inline constexpr int status_conflict = 409;
 inline constexpr int status_gone = 410;
 inline constexpr int status_too_many_requests = 429;
+inline constexpr int status_service_unavailable = 503;
+
+/// The text of a rejection for lack of memory or connections, with status_service_unavailable.
+inline constexpr const char* overload_message = "no room: come again";
 
 }  // namespace robinhoist::http
--- a/src/proxy/router.cpp
+++ b/src/proxy/router.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "http/status.h"
 #include "json/reader.h"
 #include "proxy/status_report.h"
 
@@ -95,7 +96,7 @@
                           .memory = http::MemoryCharge(settings_.server.memory)};
   const std::size_t memory = heap_bytes(request);
   if (settings_.server.memory && !settings_.server.memory->admit_request(memory)) {
-    reject_before_routing(exchange, {503, "no room: come again"});
+    reject_before_routing(exchange, {http::status_service_unavailable, http::overload_message});
     return;
   }
   request.memory.set(http::MemoryUse::open_request, memory);
