--- a/src/platform/release_tracker.cpp
+++ b/src/platform/release_tracker.cpp
@@ -38,10 +38,10 @@
 ReleaseChange ReleaseTracker::receive(const ReleaseUpdate& release, ReleaseMessageSource source,
                                       TimePoint now) {
   const std::strong_ordering order = compare_states(release, known_);
-  if (order < 0)
+  if (std::is_lt(order))
     return ReleaseChange::outdated;
   const TimePoint began_by = now - release.since;
-  if (order > 0) {
+  if (std::is_gt(order)) {
     known_ = release;
     began_by_ = began_by;
     return ReleaseChange::advanced;
