Log lines and counters for requests that are refused, retried, abandoned or not served

The reports of the incident could not tell its hypotheses apart: no line names a request, and requests that the HTTP reader rejects were not counted anywhere (rejected_before_routing is only what the protocol rejects).

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -28,10 +28,11 @@
 
 void Server::accept(int fd) {
   if (draining_ || (clients_.size() >= settings_.max_clients && !make_room())) {
-    ++refused_;
+    ++counters_.refused;
     ::close(fd);
     return;
   }
+  ++counters_.accepted;
   const auto client = std::make_shared<ServerConnection>(*this, fd);
   clients_.insert(client);
   client->start();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -15,6 +15,25 @@
 
 namespace robinhoist::http {
 
+/// A request that was rejected before it reached the handler.
+struct RejectedInput {
+  std::string client;  ///< host:port
+  int status;
+  std::string reason;
+};
+
+/// Why the server rejected input and closed connections, since its start.
+struct ServerCounters {
+  long accepted = 0;            ///< connections
+  long refused = 0;             ///< connections closed at once because there were too many
+  long invalid_requests = 0;    ///< rejected because they could not be read
+  long timed_out_requests = 0;  ///< rejected because their end did not come in time
+  long shed_requests = 0;       ///< parts of requests rejected for the limits on clients or memory
+  long closed_idle = 0;         ///< connections closed between two requests
+  long lost_with_request = 0;   ///< connections that the client ended while its request was open
+  long lost_unread = 0;         ///< of these, connections that were not being read at that time
+};
+
 struct ServerSettings {
   std::string listen{"127.0.0.1:0"};  ///< host:port; port 0 selects a free port
   MessageLimits limits{};
@@ -30,6 +49,8 @@
   std::size_t stream_backlog = std::size_t{256} * 1024;
   /// Limits the memory held for clients; null: no limit.
   std::shared_ptr<MemoryBudget> memory{};
+  /// Is called for each request that is rejected before it reaches the handler; may be empty.
+  std::function<void(const RejectedInput&)> on_rejection{};
 };
 
 /// Accepts clients and passes each of their requests to a handler. Responses are sent in the order
@@ -50,8 +71,7 @@
   std::size_t clients() const { return clients_.size(); }
   /// How often a client could not be accepted because no file descriptor was available.
   long fd_exhaustions() const { return listener_->fd_exhaustions(); }
-  /// How many clients were refused.
-  long refused() const { return refused_; }
+  const ServerCounters& counters() const { return counters_; }
 
   /// First step of a graceful shutdown: still accepts new clients, but closes each client after its
   /// next response, and clients without a request at once.
@@ -81,7 +101,7 @@
   Handler handler_;
   std::unique_ptr<net::Listener> listener_;
   std::set<std::shared_ptr<ServerConnection>> clients_{};
-  long refused_ = 0;
+  ServerCounters counters_{};
   bool shutdown_begun_ = false;
   bool draining_ = false;
 };
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -20,6 +20,8 @@
 // How long a client may take to close its side after the last response.
 constexpr Duration linger_timeout = std::chrono::seconds(1);
 
+const ParseError overload_rejection{status_service_unavailable, overload_message};
+
 }  // namespace
 
 ServerConnection::ServerConnection(Server& server, int fd)
@@ -81,7 +83,7 @@
 void ServerConnection::release_memory() {
   const bool is_partial = !closing_ && reader_.begun();
   if (is_partial && stream_->unwritten() == 0)
-    reject(status_service_unavailable, overload_message);
+    reject(&ServerCounters::shed_requests, overload_rejection);
   else
     close();
 }
@@ -157,13 +159,17 @@
   stream_->drop(reset);
   update_charges();
   server->clients_.erase(self);
+  if (open_exchange_)
+    ++server->counters_.lost_with_request;
   report_disconnect();
 }
 
 void ServerConnection::close_if_idle() {
   const auto state = closable();
-  if (server_ && state && state->cost == CloseCost::idle && !has_unread_request())
-    close();
+  if (!server_ || !state || state->cost != CloseCost::idle || has_unread_request())
+    return;
+  ++server_->counters_.closed_idle;
+  close();
 }
 
 void ServerConnection::evict() {
@@ -175,7 +181,7 @@
     return;
   }
   if (state->cost == CloseCost::partial_request)
-    reject(status_service_unavailable, overload_message);
+    reject(&ServerCounters::shed_requests, overload_rejection);
   close();
 }
 
@@ -207,10 +213,14 @@
     read_requests();
 }
 
-void ServerConnection::reject(int status, const std::string& reason) {
+// Answers a request that has not reached the handler with an error, and closes the connection.
+void ServerConnection::reject(long ServerCounters::*count, const ParseError& error) {
+  ++(server_->counters_.*count);
+  if (server_->settings_.on_rejection)
+    server_->settings_.on_rejection({stream_->peer(), error.status, error.reason});
   keep_alive_ = false;
   head_only_ = false;
-  Response response = text_response(status, reason + "\n");
+  Response response = text_response(error.status, error.reason + "\n");
   response.keep_alive = false;
   answer(std::move(response));
 }
@@ -237,7 +247,7 @@
   const bool had_begun = reader_.begun();
   const ParseResult result = reader_.read(stream_->input());
   if (result == ParseResult::invalid) {
-    reject(reader_.error().status, reader_.error().reason);
+    reject(&ServerCounters::invalid_requests, reader_.error());
     return false;
   }
   if (reader_.wants_continue())
@@ -277,10 +287,12 @@
   server_->loop_.cancel(timer_);
   timer_ = server_->loop_.in(disconnect_check_interval, [this] {
     timer_ = net::Loop::no_timer;
-    if (stream_->peer_ended())
-      close();
-    else
+    if (!stream_->peer_ended()) {
       watch_for_disconnect();
+      return;
+    }
+    ++server_->counters_.lost_unread;
+    close();
   });
 }
 
@@ -294,16 +306,18 @@
 
 void ServerConnection::handle_timeout() {
   if (!closing_ && reader_.begun()) {
-    reject(408, "the request took too long to come");
+    reject(&ServerCounters::timed_out_requests, {408, "the request took too long to come"});
     return;
   }
   // Requests of a client that does not read its responses are not read and do not keep it
   // connected.
   const bool accepts_requests = !closing_ && stream_->unwritten() == 0;
-  if (accepts_requests && has_unread_request() && stream_->input().empty())
+  if (accepts_requests && has_unread_request() && stream_->input().empty()) {
     close_after(unread_request_grace);
-  else
+  } else {
+    server_->counters_.closed_idle += accepts_requests ? 1 : 0;
     close();
+  }
 }
 
 }  // namespace robinhoist::http
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -72,7 +72,7 @@
   bool read_request();
   void dispatch(Request request);
   void finish_exchange(bool keep_alive);
-  void reject(int status, const std::string& reason);
+  void reject(long ServerCounters::*count, const ParseError& error);
   void watch_for_disconnect();
   void close_after(Duration timeout);
   void handle_timeout();
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -225,6 +225,17 @@
   return input_.empty() && ::recv(fd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && would_block();
 }
 
+std::string Stream::peer() const {
+  if (!peer_.empty() || state_ == State::closed)
+    return peer_;
+  sockaddr_storage address{};
+  socklen_t length = sizeof address;
+  auto* generic = reinterpret_cast<sockaddr*>(&address);
+  if (::getpeername(fd(), generic, &length) != 0)
+    return {};
+  return Poco::Net::SocketAddress(generic, length).toString();
+}
+
 bool Stream::peer_ended() const {
   pollfd status{fd(), POLLRDHUP, 0};
   return state_ == State::open && ::poll(&status, 1, 0) > 0 &&
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -73,7 +73,8 @@
   bool nothing_to_read() const;
   /// Whether the peer has closed its side; bytes that it sent before may be unread.
   bool peer_ended() const;
-  std::string peer() const { return peer_; }
+  /// The address of the peer, as host:port; empty if it is not known.
+  std::string peer() const;
 
  private:
   enum class State { connecting, open, closed };
--- a/src/platform/process.cpp
+++ b/src/platform/process.cpp
@@ -44,6 +44,8 @@
   void shut_down();
   void log_start() const;
   void log_statistics(const char* message) const;
+  void log_connections() const;
+  void log_attempts() const;
   void log_memory() const;
   void log_statistics_periodically();
 
@@ -110,6 +112,8 @@
   log_start();
   loop_.in(statistics_interval, [this] { log_statistics_periodically(); });
   loop_.run();
+  log_connections();
+  log_attempts();
   log_memory();
   log_statistics("stopped");
   return 0;
@@ -142,6 +146,35 @@
              {"timer_late_us_p99", log::text(loop_.lateness(0.99).value_or(0))}});
 }
 
+void Process::log_connections() const {
+  const http::ServerCounters& counters = router_.server_counters();
+  log_.info("connections", {{"accepted", log::text(counters.accepted)},
+                            {"refused", log::text(counters.refused)},
+                            {"closed_idle", log::text(counters.closed_idle)},
+                            {"lost_with_request", log::text(counters.lost_with_request)},
+                            {"lost_unread", log::text(counters.lost_unread)},
+                            {"invalid_requests", log::text(counters.invalid_requests)},
+                            {"timed_out_requests", log::text(counters.timed_out_requests)},
+                            {"shed_requests", log::text(counters.shed_requests)}});
+}
+
+void Process::log_attempts() const {
+  const proxy::ProxyCounters& counters = router_.counters();
+  const auto ended = [&](Outcome outcome) {
+    return log::text(counters.attempts_by_outcome.at(static_cast<std::size_t>(outcome)));
+  };
+  log_.info("attempts", {{"begun", log::text(counters.attempts)},
+                         {"retries_and_hedges", log::text(counters.further_attempts)},
+                         {"ok", ended(Outcome::ok)},
+                         {"error", ended(Outcome::error)},
+                         {"rejected", ended(Outcome::rejected)},
+                         {"timeout", ended(Outcome::timeout)},
+                         {"connect_failure", ended(Outcome::connect_failure)},
+                         {"reset", ended(Outcome::reset)},
+                         {"cancelled", ended(Outcome::cancelled)},
+                         {"not_sent", ended(Outcome::obsolete)}});
+}
+
 void Process::log_memory() const {
   const http::MemoryBudget& memory = router_.memory();
   const auto used_kb = [&](http::MemoryUse use) { return log::text(memory.used(use) / kibibyte); };
@@ -161,6 +194,8 @@
 
 void Process::log_statistics_periodically() {
   log_statistics("statistics");
+  log_connections();
+  log_attempts();
   log_memory();
   loop_.in(statistics_interval, [this] { log_statistics_periodically(); });
 }
--- a/src/platform/protocol.cpp
+++ b/src/platform/protocol.cpp
@@ -139,6 +139,7 @@
   const auto id = single_value(headers, wire_names::request_id);
   if (!is_valid_id(id))
     return proxy::Rejection{400, "needs one Request-Id"};
+  parsed.client_id = *id;
   const auto timeout = single_value(headers, wire_names::request_timeout);
   const auto timeout_ms = timeout ? parse_time_ms(*timeout) : std::nullopt;
   if (!timeout_ms || !(*timeout_ms > 0))
@@ -150,7 +151,6 @@
   parsed.info.deadline =
       exchange.received_at + from_millis(time_left_ms) - module_settings_.requests.tick;
   parsed.info.is_retry = headers.get(wire_names::client_retry) == "1";
-  parsed.client_id = *id;
   return {};
 }
 
--- a/src/policy/request.h
+++ b/src/policy/request.h
@@ -1,6 +1,7 @@
 /// Requests and attempts, as shared by the decision module and its hosts, and the settings for
 /// them. Plain data.
 #pragma once
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,7 @@
   obsolete,         ///< withdrawn before it was sent; of a vote: conflict with the current release
   unknown           ///< not known; it may have run
 };
+inline constexpr std::size_t outcome_count = 9;
 
 /// Whether an attempt with this outcome got no answer.
 inline bool is_lost(Outcome outcome) {
--- a/src/proxy/in_flight_requests.h
+++ b/src/proxy/in_flight_requests.h
@@ -30,6 +30,7 @@
 struct InFlightRequest {
   http::ExchangePtr exchange;  ///< null once answered or if the client disconnected
   http::Request forwarded;     ///< as sent to endpoints
+  TimePoint received_at{};     ///< when it had been received completely
   TimePoint deadline{};
   int request_class = 0;
   std::vector<InFlightAttempt> attempts{};
--- a/src/proxy/protocol.h
+++ b/src/proxy/protocol.h
@@ -27,7 +27,8 @@
 struct ParsedRequest {
   RequestInfo info{};
   http::Request forwarded{};  ///< as sent to endpoints
-  /// The client's own id for the request, or empty. It is unique among the open requests.
+  /// The client's own id for the request, or empty. It is unique among the open requests. With a
+  /// rejection it is set if it was read before.
   std::string client_id{};
   std::string_view idempotency_key{};  ///< for traces; points into the exchange's request
   std::optional<Rejection> rejection{};
--- a/src/proxy/proxy_counters.h
+++ b/src/proxy/proxy_counters.h
@@ -1,6 +1,10 @@
 /// Counters of a proxy since its start, for the status report, log lines and the client outcome
 /// report.
 #pragma once
+#include <array>
+#include <cstddef>
+
+#include "policy/request.h"
 
 namespace robinhoist::proxy {
 
@@ -16,6 +20,8 @@
   long failed = 0;
   long client_disconnected = 0;
   long attempts = 0;
+  long further_attempts = 0;  ///< retries and hedged requests
+  std::array<long, outcome_count> attempts_by_outcome{};
   long cancellations = 0;
   long votes = 0;
   long endpoint_updates = 0;
--- a/src/proxy/router.cpp
+++ b/src/proxy/router.cpp
@@ -20,11 +20,16 @@
       wall_start_(net::wall_now() - loop.now().time_since_epoch()),
       engine_(settings.seed, module_settings.endpoints, module_settings.canary_quota,
               module_settings.analysis, module_settings.requests),
+      request_log_(log),
       tracer_(settings.name, settings.trace, settings.seed, wall_start_, module_settings_),
       upstreams_(loop, settings.upstream, module_settings_, log, wall_start_,
                  settings.max_endpoints),
       drain_monitor_(loop, [this] { return open_requests() == 0 && clients() == 0; }),
-      outcome_reporter_(loop, releases, counters_) {}
+      outcome_reporter_(loop, releases, counters_) {
+  settings_.server.on_rejection = [this](const http::RejectedInput& rejected) {
+    request_log_.invalid_request(rejected, loop_.now());
+  };
+}
 
 Router::~Router() {
   loop_.cancel(engine_timer_);
@@ -69,16 +74,16 @@
     return;
   }
   if (drain_monitor_.draining()) {
-    reject_before_routing(exchange, {503, "this umpire is stopping"});
+    reject_before_routing(exchange, "", {503, "this umpire is stopping"});
     return;
   }
   ParsedRequest parsed = protocol_.read(*exchange, in_flight_.next_request_id());
   if (parsed.rejection) {
-    reject_before_routing(exchange, *parsed.rejection);
+    reject_before_routing(exchange, parsed.client_id, *parsed.rejection);
     return;
   }
   if (in_flight_.client_id_in_use(parsed.client_id)) {
-    reject_before_routing(exchange, {400, "a txn of that id is open"});
+    reject_before_routing(exchange, parsed.client_id, {400, "a txn of that id is open"});
     return;
   }
   accept(exchange, std::move(parsed));
@@ -90,13 +95,15 @@
   const int request_id = info.request_id;
   InFlightRequest request{.exchange = exchange,
                           .forwarded = std::move(parsed.forwarded),
+                          .received_at = exchange->received_at,
                           .deadline = info.deadline,
                           .request_class = info.request_class,
                           .client_id = std::move(parsed.client_id),
                           .memory = http::MemoryCharge(settings_.server.memory)};
   const std::size_t memory = heap_bytes(request);
   if (settings_.server.memory && !settings_.server.memory->admit_request(memory)) {
-    reject_before_routing(exchange, {http::status_service_unavailable, http::overload_message});
+    reject_before_routing(exchange, request.client_id,
+                          {http::status_service_unavailable, http::overload_message});
     return;
   }
   request.memory.set(http::MemoryUse::open_request, memory);
@@ -109,8 +116,10 @@
   run_engine();
 }
 
-void Router::reject_before_routing(const http::ExchangePtr& exchange, const Rejection& rejection) {
+void Router::reject_before_routing(const http::ExchangePtr& exchange, std::string_view client_id,
+                                   const Rejection& rejection) {
   ++counters_.rejected_before_routing;
+  request_log_.refused(client_id, rejection, loop_.now());
   exchange->answer(protocol_.rejected_before_routing(rejection));
 }
 
@@ -121,6 +130,7 @@
   request->exchange.reset();
   in_flight_.mark_answered(*request);
   ++counters_.client_disconnected;
+  request_log_.client_disconnected(*request, loop_.now());
   tracer_.client_disconnected(*request, loop_.now());
   engine_.client_disconnected(request_id);
   withdraw_unsent_attempts(request_id);
--- a/src/proxy/router.h
+++ b/src/proxy/router.h
@@ -26,6 +26,7 @@
 #include "proxy/proxy_counters.h"
 #include "proxy/readiness.h"
 #include "proxy/release_source.h"
+#include "proxy/request_log.h"
 #include "proxy/request_tracer.h"
 #include "proxy/upstream_pool.h"
 #include "time/time_types.h"
@@ -80,6 +81,8 @@
   std::size_t upstream_slots() const { return upstreams_.slots().size(); }
   std::size_t clients() const { return server_ ? server_->clients() : 0; }
   const ProxyCounters& counters() const { return counters_; }
+  /// The router must have been started.
+  const http::ServerCounters& server_counters() const { return server_->counters(); }
   /// The memory held for clients and endpoints. There must be a budget in the settings.
   const http::MemoryBudget& memory() const { return *settings_.server.memory; }
   const RequestTracer& tracer() const { return tracer_; }
@@ -90,7 +93,8 @@
   // Requests from clients.
   void handle(const http::ExchangePtr& exchange);
   void accept(const http::ExchangePtr& exchange, ParsedRequest parsed);
-  void reject_before_routing(const http::ExchangePtr& exchange, const Rejection& rejection);
+  void reject_before_routing(const http::ExchangePtr& exchange, std::string_view client_id,
+                             const Rejection& rejection);
   void client_disconnected(int request_id);
   bool ready() const;
 
@@ -128,6 +132,7 @@
   WallTime wall_start_;  // wall-clock time of the loop's time zero
   DecisionEngine engine_;
   ProxyCounters counters_{};
+  RequestLog request_log_;
   RequestTracer tracer_;
   std::unique_ptr<http::Server> server_{};
   std::unique_ptr<endpoint_cache::CacheWriter> cache_writer_{};
--- a/src/proxy/router_decisions.cpp
+++ b/src/proxy/router_decisions.cpp
@@ -62,6 +62,10 @@
   const AttemptId id{.request_id = decision.request_id, .attempt = request.attempts.size()};
   Upstream& upstream = upstreams_.at(decision.endpoint);
   ++counters_.attempts;
+  if (id.attempt > 0) {
+    ++counters_.further_attempts;
+    request_log_.retried(request, upstream.name, loop_.now());
+  }
   ++upstream.in_flight;
   Duration timeout = std::max(Duration(1), request.deadline - loop_.now());
   if (decision.duration > Duration{})
@@ -85,6 +89,7 @@
   const char* reason =
       request.attempts.empty() ? wire_names::no_capacity : rollout::api_name(request.last_outcome);
   ++counters_.rejected;
+  request_log_.not_served(request, wire_names::rejected, reason, loop_.now());
   finish(request, protocol_.rejected(decision.duration, reason),
          {.outcome = wire_names::rejected, .reason = reason, .retry_after = decision.duration});
   forget_if_done(decision.request_id);
@@ -96,6 +101,7 @@
   const char* reason = request.attempts.empty() ? wire_names::deadline_passed
                                                 : rollout::api_name(request.last_outcome);
   ++counters_.failed;
+  request_log_.not_served(request, wire_names::failed, reason, loop_.now());
   finish(request, protocol_.failed(timed_out, reason),
          {.outcome = wire_names::failed, .reason = reason});
   forget_if_done(decision.request_id);
@@ -154,6 +160,9 @@
   Upstream& upstream = upstreams_.at(attempt.endpoint);
   --upstream.in_flight;
   request->last_outcome = result.outcome;
+  ++counters_.attempts_by_outcome.at(static_cast<std::size_t>(result.outcome));
+  if (result.outcome != Outcome::ok)
+    request_log_.attempt_failed(*request, id.attempt, upstream.name, result.outcome, loop_.now());
   const bool is_response = result.outcome == Outcome::ok && !request->answered;
   tracer_.attempt_ended(*request, id, upstream, response.status, is_response, loop_.now());
   // The engine is updated before the response is sent, so that the client's next request is decided
@@ -165,7 +174,7 @@
     const auto& classes = module_settings_.requests.request_classes;
     const Duration objective =
         classes[static_cast<std::size_t>(request->request_class)].latency_objective;
-    const bool is_late = loop_.now() - request->exchange->received_at > objective;
+    const bool is_late = loop_.now() - request->received_at > objective;
     counters_.late += is_late ? 1 : 0;
     finish(*request, protocol_.succeeded(std::move(response), upstream.name, upstream.build),
            {.outcome = wire_names::succeeded, .reason = wire_names::response_received});
