--- /dev/null
+++ b/tests/unsound_requests_test.cpp
@@ -0,0 +1,176 @@
+// Raw requests against the program on the platform: those that are not sound get an error or a
+// close, and nothing of them reaches an endpoint. The requests are in tests/requests/.
+#include <gmock/gmock.h>
+
+#include <algorithm>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "faults/fault_proxy.h"
+#include "platform_process.h"
+
+namespace robinhoist {
+namespace {
+
+using namespace std::chrono_literals;
+using namespace tests;
+
+constexpr int hexadecimal = 16;
+
+struct RawRequest {
+  std::string name;
+  std::string text;
+};
+
+std::string unescaped(const std::string& text) {
+  std::string bytes;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] != '\\') {
+      bytes += text[i];
+      continue;
+    }
+    const char escape = text.at(++i);
+    if (escape == 'x') {
+      bytes += static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, hexadecimal));
+      i += 2;
+    } else if (escape == 'r' || escape == 'n' || escape == 't') {
+      bytes += escape == 'r' ? '\r' : escape == 'n' ? '\n' : '\t';
+    } else {
+      bytes += escape;
+    }
+  }
+  return bytes;
+}
+
+std::string replace_all(std::string text, const std::string& from, const std::string& to) {
+  for (std::size_t at = text.find(from); at != std::string::npos; at = text.find(from, at))
+    text.replace(at, from.size(), to);
+  return text;
+}
+
+std::vector<RawRequest> read_requests(const std::string& file) {
+  std::vector<RawRequest> requests;
+  std::ifstream lines(file);
+  for (std::string line; std::getline(lines, line);) {
+    const std::size_t colon = line.find(": ");
+    if (line.empty() || line[0] == '#')
+      continue;
+    requests.push_back({line.substr(0, colon), line.substr(colon + 2)});
+  }
+  return requests;
+}
+
+std::string with_id(const std::string& text, const std::string& id) {
+  const std::string fields = "Host: x\\r\\nRequest-Id: {id}\\r\\nRequest-Timeout: 8000m\\r\\n";
+  return unescaped(replace_all(replace_all(text, "{fields}", fields), "{id}", id));
+}
+
+// Sends all requests of a file, each at once and in pieces.
+class RawRequests : public PlatformProcess {
+ protected:
+  RawRequests() : PlatformProcess(patient_config()) {}
+
+  // A request that was sent, and what came back.
+  struct Sent {
+    std::string what;
+    std::string id;
+    RawClient client{};
+  };
+
+  static std::string patient_config() {
+    std::string text = replace_once(config_text(), R"("sockets": 256)", R"("sockets": 1024)");
+    for (int request_class = 0; request_class < 3; ++request_class)
+      text = replace_once(text, R"("goal_time_ms": 300.0, "deadline_ms": 400.0)",
+                          R"("goal_time_ms": 4000.0, "deadline_ms": 8000.0)");
+    return text;
+  }
+
+  // Bad clients have to be answered within this time.
+  static constexpr Duration max_response_time = 3s;
+
+  void send_all(const std::vector<RawRequest>& requests) {
+    ChildProcess proxy({"platform", "--config", config_file_}, "/dev/null");
+    when_ready([&] {
+      for (const RawRequest& request : requests) {
+        send(request, port_, "at once");
+        send(request, link_.port(), "in pieces");
+      }
+      stop_when_done(loop_.now() + max_response_time);
+    });
+    run_loop_for(60s);
+  }
+
+  void serve_request(const http::ExchangePtr& exchange) override {
+    forwarded_.insert(std::string(exchange->request.headers.get("Request-Id")));
+    PlatformProcess::serve_request(exchange);
+  }
+
+  static bool is_served(const Sent& sent) {
+    return sent.client.received.find("HTTP/1.1 200") != std::string::npos;
+  }
+  static bool is_refused(const Sent& sent) {
+    const std::string& received = sent.client.received;
+    const bool is_error = received.find("HTTP/1.1 4") == 0 || received.find("HTTP/1.1 5") == 0;
+    return is_error || (received.empty() && sent.client.closed);
+  }
+
+  std::vector<std::unique_ptr<Sent>> sent_{};
+  std::set<std::string> forwarded_{};  // the ids of the requests that reached the endpoint
+
+ private:
+  void send(const RawRequest& request, int port, const std::string& how) {
+    const std::string id = "raw-" + std::to_string(sent_.size());
+    sent_.push_back(std::make_unique<Sent>());
+    sent_.back()->what = request.name + ", " + how;
+    sent_.back()->id = id;
+    RawClient& client = sent_.back()->client;
+    const Poco::Net::SocketAddress address("127.0.0.1:" + std::to_string(port));
+    client.stream = net::Stream::connect(loop_, address, client);
+    client.stream->write(with_id(request.text, id));
+  }
+
+  void stop_when_done(TimePoint limit) {
+    const bool done = std::all_of(sent_.begin(), sent_.end(), [](const auto& sent) {
+      return is_served(*sent) || is_refused(*sent);
+    });
+    if (done || loop_.now() >= limit)
+      loop_.stop();
+    else
+      loop_.in(10ms, [this, limit] { stop_when_done(limit); });
+  }
+
+  faults::FaultProxy link_{loop_, port_, {.max_piece = 23, .piece_interval = 1ms}};
+};
+
+std::string requests_file(const std::string& name) {
+  return std::string(TESTS) + "/requests/" + name + ".txt";
+}
+
+TEST_F(RawRequests, sound_ones_are_served) {
+  send_all(read_requests(requests_file("sound")));
+  ASSERT_FALSE(sent_.empty());
+  for (const auto& sent : sent_) {
+    EXPECT_TRUE(is_served(*sent)) << sent->what << ": " << sent->client.received;
+    EXPECT_TRUE(forwarded_.contains(sent->id)) << sent->what;
+  }
+}
+
+class UnsoundRequests : public RawRequests, public testing::WithParamInterface<std::string> {};
+
+// Guards against an unsound request that is answered as served, because the reader accepted it and
+// the proxy wrote it anew as a sound one.
+TEST_P(UnsoundRequests, are_refused_and_not_forwarded) {
+  send_all(read_requests(requests_file(GetParam())));
+  ASSERT_FALSE(sent_.empty());
+  for (const auto& sent : sent_)
+    EXPECT_TRUE(is_refused(*sent)) << sent->what << ": " << sent->client.received;
+  EXPECT_THAT(forwarded_, testing::IsEmpty());
+}
+
+INSTANTIATE_TEST_SUITE_P(Of, UnsoundRequests, testing::Values("trailers"),
+                         [](const auto& info) { return info.param; });
+
+}  // namespace
+}  // namespace robinhoist
