Proxy: refuse an id that comes again after its request has ended or its client has left

Cause: an id was only known while its request was unanswered; a client that left freed it at once, while its attempt was still out (InFlightRequests::mark_answered). Why it works: the id is remembered when the request is accepted, not for as long as it is open.

--- a/src/proxy/router.cpp
+++ b/src/proxy/router.cpp
@@ -1,5 +1,7 @@
 #include "proxy/router.h"
 
+#include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "http/status.h"
@@ -7,6 +9,23 @@
 #include "proxy/status_report.h"
 
 namespace robinhoist::proxy {
+namespace {
+
+using namespace std::chrono_literals;
+
+// An id is remembered for this long beyond the longest deadline, unless there are too many.
+constexpr Duration min_id_retention = 30s;
+constexpr std::size_t max_recent_ids = 16384;
+
+Duration id_retention(const std::vector<RequestClass>& request_classes) {
+  Duration longest{};
+  for (const RequestClass& request_class : request_classes)
+    longest = std::max(longest, request_class.deadline);
+  return longest + min_id_retention;
+}
+
+}  // namespace
+
 Router::Router(net::Loop& loop, const RouterSettings& settings,
                const module_settings::ModuleSettings& module_settings, const Protocol& protocol,
                const log::Logger& log, EndpointSource& endpoints, ReleaseSource& releases)
@@ -24,6 +43,8 @@
       tracer_(settings.name, settings.trace, settings.seed, wall_start_, module_settings_),
       upstreams_(loop, settings.upstream, module_settings_, log, wall_start_,
                  settings.max_endpoints),
+      recent_client_ids_(id_retention(module_settings.requests.request_classes), max_recent_ids,
+                         settings.seed),
       drain_monitor_(loop, [this] { return open_requests() == 0 && clients() == 0; }),
       outcome_reporter_(loop, releases, counters_) {
   settings_.server.on_rejection = [this](const http::RejectedInput& rejected) {
@@ -86,9 +107,20 @@
     reject_before_routing(exchange, parsed.client_id, {400, "a txn of that id is open"});
     return;
   }
+  if (is_repeated_id(parsed.client_id)) {
+    reject_before_routing(exchange, parsed.client_id,
+                          {400, "a request of that id has come before"});
+    return;
+  }
   accept(exchange, std::move(parsed));
 }
 
+// Every request has an id of its own. One that comes again may have run already, also if its client
+// has left before the response.
+bool Router::is_repeated_id(const std::string& client_id) {
+  return !client_id.empty() && !recent_client_ids_.insert(client_id, loop_.now());
+}
+
 void Router::accept(const http::ExchangePtr& exchange, ParsedRequest parsed) {
   const TimePoint now = loop_.now();
   const RequestInfo& info = parsed.info;
--- a/src/proxy/router.h
+++ b/src/proxy/router.h
@@ -25,6 +25,7 @@
 #include "proxy/protocol.h"
 #include "proxy/proxy_counters.h"
 #include "proxy/readiness.h"
+#include "proxy/recent_ids.h"
 #include "proxy/release_source.h"
 #include "proxy/request_log.h"
 #include "proxy/request_tracer.h"
@@ -92,6 +93,7 @@
  private:
   // Requests from clients.
   void handle(const http::ExchangePtr& exchange);
+  bool is_repeated_id(const std::string& client_id);
   void accept(const http::ExchangePtr& exchange, ParsedRequest parsed);
   void reject_before_routing(const http::ExchangePtr& exchange, std::string_view client_id,
                              const Rejection& rejection);
@@ -138,6 +140,7 @@
   std::unique_ptr<endpoint_cache::CacheWriter> cache_writer_{};
   UpstreamPool upstreams_;
   InFlightRequests in_flight_{};
+  RecentIds recent_client_ids_;
   DrainMonitor drain_monitor_;
   ClientOutcomeReporter outcome_reporter_;
   Readiness readiness_{};
