Proxy: forward nothing of a client whose close stands behind unread requests

Cause: reading stops while a request is open and 1 KB waits, and the close was only looked for every 50 ms; each request read meanwhile set that timer anew, so that with answers quicker than 50 ms it never ran. Why it works: the socket is asked before each request is accepted, whether or not it is being read; the timer still covers further attempts of an open request.

--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -56,6 +56,11 @@
     connection->end_stream(last_bytes);
 }
 
+bool Exchange::client_closed() const {
+  const auto connection = connection_.lock();
+  return !connection || connection->client_closed();
+}
+
 std::size_t Exchange::unwritten() const {
   const auto connection = connection_.lock();
   return connection ? connection->unwritten() : 0;
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -38,6 +38,8 @@
 
   bool answered() const { return answered_; }
   bool client_disconnected() const { return connection_.expired(); }
+  /// Whether the client has closed its side, although bytes that it sent before may be unread.
+  bool client_closed() const;
 
   Request request;
   TimePoint received_at;             ///< when the request had been received completely
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -61,6 +61,7 @@
   bool write_chunk(std::string_view bytes);
   void end_stream(std::string_view last_bytes);
   std::size_t unwritten() const { return stream_->unwritten(); }
+  bool client_closed() const { return stream_->peer_ended(); }
 
  private:
   void on_bytes(net::Stream& stream) override;
--- a/src/platform/process.cpp
+++ b/src/platform/process.cpp
@@ -132,6 +132,7 @@
   log_.info(message,
             {{"accepted", log::text(counters.accepted)},
              {"rejected_before_routing", log::text(counters.rejected_before_routing)},
+             {"dropped", log::text(counters.dropped)},
              {"succeeded", log::text(counters.succeeded)},
              {"late", log::text(counters.late)},
              {"rejected", log::text(counters.rejected)},
--- a/src/proxy/proxy_counters.h
+++ b/src/proxy/proxy_counters.h
@@ -13,6 +13,8 @@
 struct ProxyCounters {
   long accepted = 0;
   long rejected_before_routing = 0;
+  /// Requests that were read after their client had closed its connection; not accepted.
+  long dropped = 0;
   long succeeded = 0;
   /// Succeeded requests that were answered after the latency objective of their class.
   long late = 0;
--- a/src/proxy/request_log.cpp
+++ b/src/proxy/request_log.cpp
@@ -43,6 +43,12 @@
                         {"left_out", log::text(*left_out)}});
 }
 
+void RequestLog::dropped(std::string_view client_id, TimePoint now) {
+  constexpr std::string_view message = "request dropped";
+  if (const auto left_out = limiter_.admit(message, now))
+    log_.info(message, {{"id", std::string(client_id)}, {"left_out", log::text(*left_out)}});
+}
+
 void RequestLog::retried(const InFlightRequest& request, const std::string& endpoint,
                          TimePoint now) {
   const bool is_hedge = open_attempts(request) != "0";
--- a/src/proxy/request_log.h
+++ b/src/proxy/request_log.h
@@ -24,6 +24,8 @@
   /// The request was rejected before the decision engine got it. `client_id` is empty if it has no
   /// valid one.
   void refused(std::string_view client_id, const Rejection& rejection, TimePoint now);
+  /// The client had closed its connection before its request was read.
+  void dropped(std::string_view client_id, TimePoint now);
   /// An attempt after the first one.
   void retried(const InFlightRequest& request, const std::string& endpoint, TimePoint now);
   /// An attempt ended without the endpoint's response.
--- a/src/proxy/router.cpp
+++ b/src/proxy/router.cpp
@@ -103,6 +103,13 @@
     reject_before_routing(exchange, parsed.client_id, *parsed.rejection);
     return;
   }
+  // The close may stand behind requests that were read before it.
+  if (exchange->client_closed()) {
+    ++counters_.dropped;
+    request_log_.dropped(parsed.client_id, loop_.now());
+    exchange->abort_connection();
+    return;
+  }
   if (in_flight_.client_id_in_use(parsed.client_id)) {
     reject_before_routing(exchange, parsed.client_id, {400, "a txn of that id is open"});
     return;
