HTTP: trailer fields are never header fields; those that would have to be are refused

Callers saw: a chunked request whose id, key, time or host stands only behind its body was answered as served; an id in a trailer even took the place of a missing one. Cause: Beast adds trailers to the message's fields, and the reader copied them after the body. Why it works: the header fields are taken when the header section ends; what comes later are trailers, dropped unless a recipient would need them earlier (RFC 9110, 6.5.1): then 400. Trailers are looked at as received, because Beast unfolds them.

--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -67,7 +67,8 @@
 
 std::size_t heap_bytes(const Request& request) {
   return robinhoist::heap_bytes(request.method) + robinhoist::heap_bytes(request.target) +
-         robinhoist::heap_bytes(request.body) + heap_bytes(request.headers);
+         robinhoist::heap_bytes(request.body) + heap_bytes(request.headers) +
+         heap_bytes(request.trailers);
 }
 
 bool equals_ignoring_case(std::string_view a, std::string_view b) {
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -41,6 +41,8 @@
   std::string target{"/"};
   std::string body{};
   Headers headers{};
+  /// Fields behind a chunked body. They are never treated as header fields.
+  Headers trailers{};
   bool keep_alive = true;
 
   /// The target without its query.
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <functional>
 #include <iterator>
 #include <limits>
 #include <optional>
@@ -22,32 +23,45 @@
   return {text.data(), text.size()};
 }
 
-// Feeds a parser from the front of a buffer, the header section separately from the body. If both
-// were fed in one call, Beast would lose the error that the body exceeds the limit, allocate the
-// whole announced length and go on reading.
+// Feeds a parser from the front of a buffer. The header section is fed separately from the body: if
+// both were fed in one call, Beast would lose the error that the body exceeds the limit, allocate
+// the whole announced length and go on reading.
 template <class BeastParser>
-Error feed(BeastParser& parser, std::string& input, std::size_t max_body_bytes) {
+Error feed_header(BeastParser& parser, std::string& input) {
   Error error;
+  if (parser.is_header_done() || input.empty())
+    return error;
+  input.erase(0, parser.put(boost::asio::buffer(input), error));
+  return error;
+}
+
+template <class BeastParser>
+Error feed_body(BeastParser& parser, std::string& input, std::size_t max_body_bytes) {
+  Error error;
+  if (!parser.is_header_done() || parser.is_done())
+    return error;
+  if (parser.content_length().value_or(0) > max_body_bytes)
+    return beast::error::body_limit;
+  parser.eager(true);
   std::size_t consumed = 0;
-  do {
+  while (!parser.is_done() && consumed < input.size()) {
     error = {};
-    if (parser.is_header_done()) {
-      if (parser.content_length().value_or(0) > max_body_bytes) {
-        error = beast::error::body_limit;
-        break;
-      }
-      parser.eager(true);
-    }
     const std::size_t used =
         parser.put(boost::asio::buffer(input.data() + consumed, input.size() - consumed), error);
     consumed += used;
     if (error || used == 0)
       break;
-  } while (!parser.is_done() && consumed < input.size());
+  }
   input.erase(0, consumed);
   return error;
 }
 
+template <class BeastParser>
+Error feed(BeastParser& parser, std::string& input, std::size_t max_body_bytes) {
+  const Error error = feed_header(parser, input);
+  return error ? error : feed_body(parser, input, max_body_bytes);
+}
+
 template <class BeastParser>
 bool has_too_many_fields(const BeastParser& parser, const MessageLimits& limits) {
   const auto& message = parser.get();
@@ -108,14 +122,96 @@
 
 }  // namespace
 
+// The request that is being read. Its header fields are taken out of Beast's message once they are
+// complete, so that the fields found there afterwards are the trailers.
 struct RequestReader::Parser {
+  explicit Parser(const MessageLimits& limits) : limits(limits) {}
+
+  void begin() {
+    request = {};
+    header_taken = false;
+    begun = true;
+    expects_continue = false;
+    rule_error.reset();
+    beast_parser.emplace();
+    set_limits(*beast_parser, limits);
+    beast_parser->on_chunk_header(on_chunk_header);
+  }
+
+  Error feed(std::string& input) {
+    if (const Error error = feed_header(*beast_parser, input))
+      return error;
+    if (beast_parser->is_header_done() && !header_taken)
+      if (const Error error = take_header())
+        return error;
+    unparsed_body = input;
+    if (const Error error = feed_body(*beast_parser, input, limits.max_body_bytes))
+      return error;
+    return beast_parser->is_done() ? take_body_and_trailers() : Error{};
+  }
+
+  // Moves the request line and the header fields out of Beast's message.
+  Error take_header() {
+    auto& message = beast_parser->get();
+    if (has_too_many_fields(*beast_parser, limits))
+      return beast::error::header_limit;
+    if (length_is_ambiguous(message, beast_parser->chunked()))
+      return broken_rule({400, "where the body ends is not clear"});
+    request.method = view(message.method_string());
+    request.target = view(message.target());
+    request.keep_alive = message.keep_alive();
+    copy_headers(message, request.headers);
+    expects_continue = message.version() >= 11 &&
+                       equals_ignoring_case(view(message[beast::field::expect]), "100-continue");
+    message.clear();
+    header_taken = true;
+    return {};
+  }
+
+  Error take_body_and_trailers() {
+    auto& message = beast_parser->get();
+    request.body = std::move(message.body());
+    if (has_too_many_fields(*beast_parser, limits))
+      return beast::error::header_limit;
+    copy_headers(message, request.trailers);
+    if (const auto error = check_trailers(request.trailers))
+      return broken_rule(*error);
+    return {};
+  }
+
+  // Beast parses the trailers together with the last chunk, whose extensions it passes as a view
+  // into the input. They are checked as received, because Beast unfolds them.
+  void check_trailers_behind(boost::beast::string_view extensions, Error& error) {
+    const std::size_t begin =
+        static_cast<std::size_t>(extensions.data() - unparsed_body.data()) + extensions.size();
+    const std::size_t end = unparsed_body.find("\r\n\r\n", begin);
+    if (const auto violation = check_trailer_section(unparsed_body.substr(begin, end - begin)))
+      error = broken_rule(*violation);
+  }
+
+  // Keeps the reason of an error that is not Beast's.
+  Error broken_rule(ParseError error) {
+    rule_error = std::move(error);
+    return beast::error::bad_value;
+  }
+
+  MessageLimits limits;
   std::optional<beast::request_parser<SteppedBody>> beast_parser{};
+  Request request{};
+  bool header_taken = false;
   bool begun = false;
-  bool continue_sent = false;
+  bool expects_continue = false;
+  std::string_view unparsed_body{};  // while it is being parsed
+  std::optional<ParseError> rule_error{};
+  std::function<void(std::uint64_t, boost::beast::string_view, Error&)> on_chunk_header =
+      [this](std::uint64_t size, boost::beast::string_view extensions, Error& error) {
+        if (size == 0)
+          check_trailers_behind(extensions, error);
+      };
 };
 
 RequestReader::RequestReader(MessageLimits limits)
-    : limits_(limits), parser_(std::make_unique<Parser>()) {}
+    : limits_(limits), parser_(std::make_unique<Parser>(limits)) {}
 
 RequestReader::~RequestReader() = default;
 
@@ -125,31 +221,24 @@
 
 void RequestReader::discard() {
   parser_->beast_parser.reset();
+  parser_->request = {};
   parser_->begun = false;
 }
 
 std::size_t RequestReader::memory() const {
-  return memory_of(parser_->beast_parser);
+  return heap_bytes(parser_->request) + memory_of(parser_->beast_parser);
 }
 
 ParseResult RequestReader::read(std::string& input) {
   if (error_.status != 0)
     return ParseResult::invalid;
-  auto& parser = parser_->beast_parser;
-  if (!parser) {
+  if (!parser_->beast_parser) {
     skip_empty_lines(input);
     if (input.empty())
       return ParseResult::incomplete;
-    parser.emplace();
-    set_limits(*parser, limits_);
-    parser_->begun = true;
-    parser_->continue_sent = false;
+    parser_->begin();
   }
-  if (input.empty())
-    return ParseResult::incomplete;
-  Error error = feed(*parser, input, limits_.max_body_bytes);
-  if (has_too_many_fields(*parser, limits_))
-    error = beast::error::header_limit;
+  Error error = parser_->feed(input);
   if (error == beast::error::need_more) {
     // The unparsed rest is one incomplete line, of the header section or before a chunk. Its length
     // is limited.
@@ -158,39 +247,21 @@
     error = beast::error::header_limit;
   }
   if (error) {
-    error_ = parse_error_of(error);
-    return ParseResult::invalid;
-  }
-  if (parser->is_header_done() && length_is_ambiguous(parser->get(), parser->chunked())) {
-    error_ = {400, "where the body ends is not clear"};
+    error_ = parser_->rule_error.value_or(parse_error_of(error));
     return ParseResult::invalid;
   }
-  return parser->is_done() ? ParseResult::complete : ParseResult::incomplete;
+  return parser_->beast_parser->is_done() ? ParseResult::complete : ParseResult::incomplete;
 }
 
 bool RequestReader::wants_continue() {
-  const auto& parser = parser_->beast_parser;
-  if (!parser || parser_->continue_sent || !parser->is_header_done() || parser->is_done())
-    return false;
-  const auto& message = parser->get();
-  if (message.version() < 11 ||
-      !equals_ignoring_case(view(message[beast::field::expect]), "100-continue"))
-    return false;
-  parser_->continue_sent = true;
-  return true;
+  const bool body_is_missing = parser_->beast_parser && !parser_->beast_parser->is_done();
+  return body_is_missing && std::exchange(parser_->expects_continue, false);
 }
 
 Request RequestReader::take() {
-  auto message = parser_->beast_parser->release();
   parser_->beast_parser.reset();
   parser_->begun = false;
-  Request request;
-  request.method = view(message.method_string());
-  request.target = view(message.target());
-  request.keep_alive = message.keep_alive();
-  copy_headers(message, request.headers);
-  request.body = std::move(message.body());
-  return request;
+  return std::exchange(parser_->request, {});
 }
 
 struct ResponseReader::Parser {
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -7,18 +7,13 @@
 #include <string>
 
 #include "http/message.h"
+#include "http/request_rules.h"
 
 namespace robinhoist::http {
 
 /// The state of the message being parsed.
 enum class ParseResult { incomplete, complete, invalid };
 
-/// Why a message is invalid, and the status code to answer with. Status 0 means no error.
-struct ParseError {
-  int status = 0;
-  std::string reason{};
-};
-
 /// Reads consecutive requests of one connection.
 class RequestReader {
  public:
--- a/src/platform/protocol.cpp
+++ b/src/platform/protocol.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "http/request_rules.h"
 #include "platform/wire_names.h"
 #include "settings/sexp_reader.h"
 #include "time/units.h"
@@ -136,6 +137,12 @@
                                                                proxy::ParsedRequest& parsed) const {
   const http::Headers& headers = exchange.request.headers;
   const RequestClass& request_class = class_of(parsed.info);
+  const auto misplaced = http::check_header_placement(
+      exchange.request,
+      {wire_names::request_id, wire_names::request_timeout, wire_names::idempotency_key,
+       wire_names::client_retry, wire_names::request_info});
+  if (misplaced)
+    return proxy::Rejection{misplaced->status, misplaced->reason};
   const auto id = single_value(headers, wire_names::request_id);
   if (!is_valid_id(id))
     return proxy::Rejection{400, "needs one Request-Id"};
--- a/src/proxy/http_protocol.cpp
+++ b/src/proxy/http_protocol.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <utility>
 
+#include "http/request_rules.h"
 #include "proxy/wire_names.h"
 #include "time/units.h"
 
@@ -107,6 +108,11 @@
   const deployment::Deployment& deployment = settings_.deployment;
   const HeaderNames& names = settings_.headers;
   RequestInfo& info = parsed.info;
+  const auto misplaced =
+      http::check_header_placement(request, {names.tenant, names.idempotency_key, names.routing_key,
+                                             names.remaining_time, names.cost_hint, names.retry});
+  if (misplaced)
+    return Rejection{misplaced->status, misplaced->reason};
   info.request_class = deployment.match_request_class(request.method, request.path());
   if (info.request_class < 0)
     return Rejection{404, "no product takes " + request.method + " " + std::string(request.path())};
