HTTP: refuse requests that name the fields they depend on as connection options

Callers saw: a request with 'Connection: Request-Id' (or the key, the time, the length) was answered as served; its endpoint got it without that field. Cause: a proxy removes what Connection names, and both protocols read the field before it is removed; a second Connection field was not looked at. Why it works: a recipient that depends on a field refuses a request that has it removed for the next one; all Connection fields count.

--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -25,19 +25,20 @@
                                                                  "Proxy-Authorization",
                                                                  "Proxy-Authenticate"};
 
+constexpr std::string_view blanks = " \t";
+
 std::string_view trimmed(std::string_view word) {
-  while (!word.empty() && word.front() == ' ')
-    word.remove_prefix(1);
-  while (!word.empty() && word.back() == ' ')
-    word.remove_suffix(1);
-  return word;
-}
-
-// Whether a Connection field lists that header, which makes it a hop-by-hop header.
-bool names_header(std::string_view connection, std::string_view header) {
-  for (std::size_t at = 0; at < connection.size();) {
-    const std::size_t end = std::min(connection.find(',', at), connection.size());
-    if (equals_ignoring_case(trimmed(connection.substr(at, end - at)), header))
+  const std::size_t begin = word.find_first_not_of(blanks);
+  if (begin == std::string_view::npos)
+    return {};
+  return word.substr(begin, word.find_last_not_of(blanks) - begin + 1);
+}
+
+// Whether a comma-separated list has this item.
+bool list_has(std::string_view list, std::string_view item) {
+  for (std::size_t at = 0; at < list.size();) {
+    const std::size_t end = std::min(list.find(',', at), list.size());
+    if (equals_ignoring_case(trimmed(list.substr(at, end - at)), item))
       return true;
     at = end + 1;
   }
@@ -130,13 +131,18 @@
   return {text.data(), text.size()};
 }
 
+bool is_connection_option(const Headers& headers, std::string_view name) {
+  return std::any_of(headers.all().begin(), headers.all().end(), [&](const Header& field) {
+    return equals_ignoring_case(field.name, "Connection") && list_has(field.value, name);
+  });
+}
+
 void copy_end_to_end_headers(const Headers& from, Headers& to) {
-  const std::string_view connection = from.get("Connection");
   for (const Header& field : from.all()) {
     const bool hop_by_hop =
         std::any_of(hop_by_hop_headers.begin(), hop_by_hop_headers.end(),
                     [&](std::string_view name) { return equals_ignoring_case(name, field.name); });
-    if (!hop_by_hop && !names_header(connection, field.name))
+    if (!hop_by_hop && !is_connection_option(from, field.name))
       to.add(field.name, field.value);
   }
 }
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -83,6 +83,9 @@
 /// Decodes %XX and + of a query or a path segment; an invalid escape is copied unchanged.
 std::string percent_decoded(std::string_view text);
 
+/// Whether a Connection field names this header, which makes it a hop-by-hop header.
+bool is_connection_option(const Headers& headers, std::string_view name);
+
 /// Copies the end-to-end header fields and leaves out the hop-by-hop ones (RFC 9110, 7.6.1).
 void copy_end_to_end_headers(const Headers& from, Headers& to);
 
--- a/src/http/request_rules.h
+++ b/src/http/request_rules.h
@@ -18,13 +18,16 @@
   std::string reason{};
 };
 
+/// Checks the header fields of a request.
+std::optional<ParseError> check_header(const Headers& headers);
 /// Checks the trailer section of a chunked request, as received and with its last line end.
 std::optional<ParseError> check_trailer_section(std::string_view section);
 /// Checks trailer fields: framing, routing and request modifiers belong to the header section,
 /// where they are known before the body is read (RFC 9110, 6.5.1).
 std::optional<ParseError> check_trailers(const Headers& trailers);
-/// Checks the header fields on which the handling of the request depends: none of them may be
-/// missing where a recipient looks for it.
+/// Checks the header fields on which the handling of a request depends. None of them may stand in
+/// the trailers or be named as a connection option: it would be handled by one recipient and
+/// removed for the next.
 std::optional<ParseError> check_header_placement(const Request& request,
                                                  std::initializer_list<std::string_view> names);
 
