HTTP: requests need one valid Host

Callers saw: requests without a Host, with two, or with one that names no host were answered as served (RFC 9112, 3.2, asks for 400). Cause: Beast does not look at Host, and the proxy writes one of its own to the endpoint. Evidence: Of/UnsoundRequests.../host, 11 of 11 served before, none now; RawRequests.sound_ones_are_served has the valid forms.

--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -161,7 +161,7 @@
     request.target = view(message.target());
     request.keep_alive = message.keep_alive();
     copy_headers(message, request.headers);
-    if (const auto error = check_header(request.headers))
+    if (const auto error = check_header(request.headers, message.version()))
       return broken_rule(*error);
     expects_continue = message.version() >= 11 &&
                        equals_ignoring_case(view(message[beast::field::expect]), "100-continue");
--- a/src/http/request_rules.cpp
+++ b/src/http/request_rules.cpp
@@ -22,9 +22,68 @@
          lines.find("\r\n\t") != std::string_view::npos;
 }
 
+bool is_digit(char c) {
+  return c >= '0' && c <= '9';
+}
+
+bool is_hex_digit(char c) {
+  return is_digit(c) || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F');
+}
+
+// The characters of a URI that stand for themselves (RFC 3986, 2.2 and 2.3).
+bool is_unreserved_or_delimiter(char c) {
+  const bool is_letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+  constexpr std::string_view others = "-._~!$&'()*+,;=";
+  return is_letter || is_digit(c) || (c != '\0' && others.find(c) != std::string_view::npos);
+}
+
+// Whether the text has only characters of a URI, complete escapes, and characters of `more`.
+bool is_uri_text(std::string_view text, std::string_view more) {
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] == '%') {
+      if (i + 2 >= text.size() || !is_hex_digit(text[i + 1]) || !is_hex_digit(text[i + 2]))
+        return false;
+      i += 2;
+    } else if (!is_unreserved_or_delimiter(text[i]) && more.find(text[i]) == more.npos) {
+      return false;
+    }
+  }
+  return true;
+}
+
+// A host, which may be an address in brackets, and a port (RFC 9110, 7.2).
+bool is_host_and_port(std::string_view text) {
+  std::size_t host_end = std::min(text.find(':'), text.size());
+  if (text.starts_with('[')) {
+    const std::size_t bracket = text.find(']');
+    if (bracket == std::string_view::npos || !is_uri_text(text.substr(1, bracket - 1), ":"))
+      return false;
+    host_end = bracket + 1;
+  } else if (text.find(',') != std::string_view::npos ||
+             !is_uri_text(text.substr(0, host_end), "")) {
+    return false;
+  }
+  const std::string_view port = text.substr(host_end);
+  return port.empty() ||
+         (port.front() == ':' && std::all_of(port.begin() + 1, port.end(), is_digit));
+}
+
+std::optional<ParseError> check_host(const Headers& headers, unsigned version) {
+  const auto hosts =
+      std::count_if(headers.all().begin(), headers.all().end(),
+                    [](const auto& field) { return equals_ignoring_case(field.name, "Host"); });
+  if (hosts > 1 || (hosts == 0 && version >= http_1_1))
+    return ParseError{400, "needs one Host"};
+  if (!is_host_and_port(headers.get("Host")))
+    return ParseError{400, "Host is not a host and a port"};
+  return {};
+}
+
 }  // namespace
 
-std::optional<ParseError> check_header(const Headers& headers) {
+std::optional<ParseError> check_header(const Headers& headers, unsigned version) {
+  if (const auto error = check_host(headers, version))
+    return error;
   for (const std::string_view name : framing_fields)
     if (is_connection_option(headers, name))
       return ParseError{400, "the field " + std::string(name) + " is named as a connection option"};
--- a/src/http/request_rules.h
+++ b/src/http/request_rules.h
@@ -18,8 +18,11 @@
   std::string reason{};
 };
 
+/// Versions of HTTP, as major times ten plus minor.
+inline constexpr unsigned http_1_1 = 11;
+
 /// Checks the header fields of a request.
-std::optional<ParseError> check_header(const Headers& headers);
+std::optional<ParseError> check_header(const Headers& headers, unsigned version);
 /// Checks the trailer section of a chunked request, as received and with its last line end.
 std::optional<ParseError> check_trailer_section(std::string_view section);
 /// Checks trailer fields: framing, routing and request modifiers belong to the header section,
--- a/tests/unsound_requests_test.cpp
+++ b/tests/unsound_requests_test.cpp
@@ -169,7 +169,7 @@
   EXPECT_THAT(forwarded_, testing::IsEmpty());
 }
 
-INSTANTIATE_TEST_SUITE_P(Of, UnsoundRequests, testing::Values("connection_options", "trailers"),
+INSTANTIATE_TEST_SUITE_P(Of, UnsoundRequests, testing::Values("connection_options", "host", "trailers"),
                          [](const auto& info) { return info.param; });
 
 }  // namespace
