HTTP: refuse folded fields instead of unfolding them

Callers saw: a request with a folded field, the id among them, was answered as served. RFC 9112, 5.2, asks for 400 or for blanks in its place; the second makes a sound request of one that others refuse. Cause: Beast unfolds while it parses. Why it works: the lines are checked as received, before Beast gets them; trailers by the same check.

--- a/src/http/message.h
+++ b/src/http/message.h
@@ -36,6 +36,9 @@
   std::vector<Header> fields_{};
 };
 
+/// A version of HTTP, as major times ten plus minor.
+inline constexpr unsigned http_1_1 = 11;
+
 struct Request {
   std::string method{"GET"};
   std::string target{"/"};
@@ -43,6 +46,7 @@
   Headers headers{};
   /// Fields behind a chunked body. They are never treated as header fields.
   Headers trailers{};
+  unsigned version = http_1_1;
   bool keep_alive = true;
 
   /// The target without its query.
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -131,6 +131,8 @@
   }
 
   Error feed(std::string& input) {
+    if (const Error error = check_header_lines(input))
+      return error;
     if (const Error error = feed_header(*beast_parser, input))
       return error;
     if (beast_parser->is_header_done() && !header_taken)
@@ -142,6 +144,17 @@
     return beast_parser->is_done() ? take_body_and_trailers() : Error{};
   }
 
+  // Beast reads a header section once it is complete. Its lines are checked before, as received,
+  // because Beast unfolds them.
+  Error check_header_lines(const std::string& input) {
+    const std::size_t end = input.find("\r\n\r\n");
+    if (header_taken || end == std::string::npos)
+      return {};
+    if (const auto error = check_field_lines(std::string_view(input).substr(0, end)))
+      return broken_rule(*error);
+    return {};
+  }
+
   // Moves the request line and the header fields out of Beast's message.
   Error take_header() {
     auto& message = beast_parser->get();
@@ -149,9 +162,10 @@
       return beast::error::header_limit;
     request.method = view(message.method_string());
     request.target = view(message.target());
+    request.version = message.version();
     request.keep_alive = message.keep_alive();
     copy_headers(message, request.headers);
-    if (const auto error = check_header(request.headers, message.version()))
+    if (const auto error = check_header(request))
       return broken_rule(*error);
     expects_continue = message.version() >= 11 &&
                        equals_ignoring_case(view(message[beast::field::expect]), "100-continue");
@@ -177,7 +191,7 @@
     const std::size_t begin =
         static_cast<std::size_t>(extensions.data() - unparsed_body.data()) + extensions.size();
     const std::size_t end = unparsed_body.find("\r\n\r\n", begin);
-    if (const auto violation = check_trailer_section(unparsed_body.substr(begin, end - begin)))
+    if (const auto violation = check_field_lines(unparsed_body.substr(begin, end - begin)))
       error = broken_rule(*violation);
   }
 
--- a/src/http/request_rules.cpp
+++ b/src/http/request_rules.cpp
@@ -90,6 +90,13 @@
   return {};
 }
 
+std::optional<ParseError> check_connection_options(const Headers& headers) {
+  for (const std::string_view name : framing_fields)
+    if (is_connection_option(headers, name))
+      return ParseError{400, "the field " + std::string(name) + " is named as a connection option"};
+  return {};
+}
+
 std::optional<ParseError> check_host(const Headers& headers, unsigned version) {
   const std::size_t hosts = count(headers, "Host");
   if (hosts > 1 || (hosts == 0 && version >= http_1_1))
@@ -101,21 +108,18 @@
 
 }  // namespace
 
-std::optional<ParseError> check_header(const Headers& headers, unsigned version) {
-  if (const auto error = check_host(headers, version))
-    return error;
-  if (const auto error = check_framing(headers, version))
-    return error;
-  for (const std::string_view name : framing_fields)
-    if (is_connection_option(headers, name))
-      return ParseError{400, "the field " + std::string(name) + " is named as a connection option"};
+std::optional<ParseError> check_field_lines(std::string_view section) {
+  if (has_folded_line(section))
+    return ParseError{400, "a field is folded"};
   return {};
 }
 
-std::optional<ParseError> check_trailer_section(std::string_view section) {
-  if (has_folded_line(section))
-    return ParseError{400, "a trailer field is folded"};
-  return {};
+std::optional<ParseError> check_header(const Request& request) {
+  if (const auto error = check_host(request.headers, request.version))
+    return error;
+  if (const auto error = check_framing(request.headers, request.version))
+    return error;
+  return check_connection_options(request.headers);
 }
 
 std::optional<ParseError> check_trailers(const Headers& trailers) {
--- a/src/http/request_rules.h
+++ b/src/http/request_rules.h
@@ -18,13 +18,11 @@
   std::string reason{};
 };
 
-/// Versions of HTTP, as major times ten plus minor.
-inline constexpr unsigned http_1_1 = 11;
-
-/// Checks the header fields of a request.
-std::optional<ParseError> check_header(const Headers& headers, unsigned version);
-/// Checks the trailer section of a chunked request, as received and with its last line end.
-std::optional<ParseError> check_trailer_section(std::string_view section);
+/// Checks the lines of a header section (with the request line) or of a trailer section, as
+/// received.
+std::optional<ParseError> check_field_lines(std::string_view section);
+/// Checks the request line and the header fields of a request.
+std::optional<ParseError> check_header(const Request& request);
 /// Checks trailer fields: framing, routing and request modifiers belong to the header section,
 /// where they are known before the body is read (RFC 9110, 6.5.1).
 std::optional<ParseError> check_trailers(const Headers& trailers);
