HTTP: refuse targets that are no URI

Callers saw: requests with raw quotes, brackets, braces, backslashes, fragments, bytes above 127 or escapes that are no number in their target were answered as served. Endpoints may read such a target otherwise (RFC 9112, 3.2: 400). Cause: Beast takes any visible byte, and the target is passed on unchanged.

--- a/src/http/request_rules.cpp
+++ b/src/http/request_rules.cpp
@@ -68,6 +68,20 @@
          (port.front() == ':' && std::all_of(port.begin() + 1, port.end(), is_digit));
 }
 
+// A target in origin or absolute form, or an asterisk (RFC 9112, 3.2).
+bool is_target(std::string_view target) {
+  constexpr std::string_view scheme = "http://";
+  constexpr std::string_view path_delimiters = ":@/?";
+  if (target == "*")
+    return true;
+  if (!target.starts_with(scheme))
+    return is_uri_text(target, path_delimiters);
+  target.remove_prefix(scheme.size());
+  const std::size_t path = std::min(target.find_first_of("/?"), target.size());
+  return is_host_and_port(target.substr(0, path)) &&
+         is_uri_text(target.substr(path), path_delimiters);
+}
+
 std::size_t count(const Headers& headers, std::string_view name) {
   return static_cast<std::size_t>(
       std::count_if(headers.all().begin(), headers.all().end(),
@@ -115,6 +129,8 @@
 }
 
 std::optional<ParseError> check_header(const Request& request) {
+  if (!is_target(request.target))
+    return ParseError{400, "the target is not a path and a query"};
   if (const auto error = check_host(request.headers, request.version))
     return error;
   if (const auto error = check_framing(request.headers, request.version))
