HTTP: refuse expectations that are not met

Callers saw: a request that expects anything but '100-continue' was answered as served, without what it expects. Cause: the proxy drops Expect as a hop-by-hop field and looked only for the one value that it knows.

--- a/src/http/request_rules.cpp
+++ b/src/http/request_rules.cpp
@@ -111,6 +111,16 @@
   return {};
 }
 
+// The only expectation that is defined (RFC 9110, 10.1.1); HTTP/1.0 has none.
+std::optional<ParseError> check_expectation(const Request& request) {
+  const std::size_t expectations = count(request.headers, "Expect");
+  if (expectations == 0 || request.version < http_1_1)
+    return {};
+  if (expectations > 1 || !equals_ignoring_case(request.headers.get("Expect"), "100-continue"))
+    return ParseError{417, "Expect is not 100-continue"};
+  return {};
+}
+
 std::optional<ParseError> check_host(const Headers& headers, unsigned version) {
   const std::size_t hosts = count(headers, "Host");
   if (hosts > 1 || (hosts == 0 && version >= http_1_1))
@@ -135,6 +145,8 @@
     return error;
   if (const auto error = check_framing(request.headers, request.version))
     return error;
+  if (const auto error = check_expectation(request))
+    return error;
   return check_connection_options(request.headers);
 }
 
--- a/tests/unsound_requests_test.cpp
+++ b/tests/unsound_requests_test.cpp
@@ -170,8 +170,8 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Of, UnsoundRequests,
-                         testing::Values("connection_options", "field_lines", "framing", "host",
-                                         "targets", "trailers"),
+                         testing::Values("connection_options", "expectations", "field_lines",
+                                         "framing", "host", "targets", "trailers"),
                          [](const auto& info) { return info.param; });
 
 }  // namespace
