Platform: requests come in HTTP/1.1

Cause: the reader takes both versions, as 'robinhoist proxy' has to, and the platform's protocol did not look. Evidence: Of/UnsoundRequests.../versions, 2 of 17 served before, none now (505).

--- a/src/platform/protocol.cpp
+++ b/src/platform/protocol.cpp
@@ -118,6 +118,8 @@
 
 std::optional<proxy::Rejection> PlatformProtocol::read_class(const http::Request& request,
                                                              RequestInfo& info) const {
+  if (request.version != http::http_1_1)
+    return proxy::Rejection{505, "clients speak HTTP/1.1"};
   std::string_view path = request.path();
   if (path.empty() || path.front() != '/')
     return proxy::Rejection{400, "the target is no path"};
--- a/tests/unsound_requests_test.cpp
+++ b/tests/unsound_requests_test.cpp
@@ -171,7 +171,7 @@
 
 INSTANTIATE_TEST_SUITE_P(Of, UnsoundRequests,
                          testing::Values("connection_options", "expectations", "field_lines",
-                                         "framing", "host", "targets", "trailers"),
+                                         "framing", "host", "targets", "trailers", "versions"),
                          [](const auto& info) { return info.param; });
 
 }  // namespace
