HTTP server: a request with bytes behind it that are no request is refused

Callers saw: a request whose length is too short, or that has none though a body follows, was answered as served; only the rest got a 400, or nothing. Cause: the reader takes a request by its length alone and looks at what follows only after the answer. Why it works: what follows must be able to begin a request line; a client that pipelines sound requests is served as before.

--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -34,6 +34,13 @@
     connection->close(true);
 }
 
+void Exchange::abandon() {
+  answered_ = true;
+  streaming_ = false;
+  if (on_disconnect)
+    on_disconnect();
+}
+
 void Exchange::begin_stream(const Response& head) {
   if (answered_)
     return;
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -25,6 +25,8 @@
   void answer(Response response);
   /// Resets the connection instead of sending a response.
   void abort_connection();
+  /// The connection has answered the request itself, with an error, or has ended.
+  void abandon();
 
   /// Begins a chunked response. It ends with end(), or when the client disconnects or reads too
   /// slowly.
--- a/src/http/request_rules.cpp
+++ b/src/http/request_rules.cpp
@@ -13,6 +13,9 @@
     "Range",          "Proxy-Connection", "TE",           "Trailer",
     "Upgrade",        "Transfer-Encoding"};
 
+constexpr std::array<std::string_view, 9> methods = {
+    "CONNECT ", "DELETE ", "GET ", "HEAD ", "OPTIONS ", "PATCH ", "POST ", "PUT ", "TRACE "};
+
 constexpr std::array<std::string_view, 3> framing_fields = {"Content-Length", "Host",
                                                             "Transfer-Encoding"};
 
@@ -172,4 +175,15 @@
   return {};
 }
 
+bool may_begin_request(std::string_view bytes) {
+  while (bytes.starts_with("\r\n"))
+    bytes.remove_prefix(2);
+  if (bytes.empty() || bytes == "\r")
+    return true;
+  return std::any_of(methods.begin(), methods.end(), [&](std::string_view method) {
+    const std::string_view begin = bytes.substr(0, method.size());
+    return method.starts_with(begin);
+  });
+}
+
 }  // namespace robinhoist::http
--- a/src/http/request_rules.h
+++ b/src/http/request_rules.h
@@ -32,4 +32,8 @@
 std::optional<ParseError> check_header_placement(const Request& request,
                                                  std::initializer_list<std::string_view> names);
 
+/// Whether these bytes behind a request may be the beginning of another one. If not, the length of
+/// the request was wrong, or its client does not speak HTTP.
+bool may_begin_request(std::string_view bytes);
+
 }  // namespace robinhoist::http
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -20,6 +20,7 @@
 // How long a client may take to close its side after the last response.
 constexpr Duration linger_timeout = std::chrono::seconds(1);
 
+const ParseError surplus_bytes{400, "the bytes behind the request are no request"};
 const ParseError overload_rejection{status_service_unavailable, overload_message};
 
 }  // namespace
@@ -68,7 +69,10 @@
 
 void ServerConnection::on_bytes(net::Stream& /*stream*/) {
   const auto self = shared_from_this();
-  read_requests();
+  if (open_exchange_ && !may_begin_request(stream_->input()))
+    fail_open_request();
+  else
+    read_requests();
   update_charges();
   if (server_)
     enforce_memory_limit(server_->loop_.now());
@@ -213,6 +217,18 @@
     read_requests();
 }
 
+// Bytes that can't be another request show that the length of the open one was wrong. It may have
+// run, but it is not answered as served.
+void ServerConnection::fail_open_request() {
+  const ExchangePtr exchange = open_exchange_;
+  if (exchange->answered()) {  // its response is being streamed
+    close(true);
+    return;
+  }
+  reject(&ServerCounters::invalid_requests, surplus_bytes);
+  exchange->abandon();
+}
+
 // Answers a request that has not reached the handler with an error, and closes the connection.
 void ServerConnection::reject(long ServerCounters::*count, const ParseError& error) {
   ++(server_->counters_.*count);
@@ -252,6 +268,10 @@
   }
   if (reader_.wants_continue())
     stream_->write("HTTP/1.1 100 Continue\r\n\r\n");
+  if (result == ParseResult::complete && !may_begin_request(stream_->input())) {
+    reject(&ServerCounters::invalid_requests, surplus_bytes);
+    return false;
+  }
   if (result == ParseResult::complete) {
     dispatch(reader_.take());
     return true;
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -73,6 +73,7 @@
   bool read_request();
   void dispatch(Request request);
   void finish_exchange(bool keep_alive);
+  void fail_open_request();
   void reject(long ServerCounters::*count, const ParseError& error);
   void watch_for_disconnect();
   void close_after(Duration timeout);
