HTTP client: responses by the same rules: one end, trailers are no header fields

The same class of fault on the way back, found by reading and shown by tests. Evidence: ResponseReader.the_end_of_a_response_has_one_meaning and trailers_are_no_header_fields, both red before. Why it works: the header fields are taken at the end of the header section and checked as a request's are; such a response counts as malformed, so the attempt may have run.

--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -270,8 +270,52 @@
   return std::exchange(parser_->request, {});
 }
 
+// The header fields are taken out of Beast's message once they are complete; those found there
+// afterwards are trailers, which are dropped.
 struct ResponseReader::Parser {
   std::optional<beast::response_parser<SteppedBody>> beast_parser{};
+  Response response{};
+  bool header_taken = false;
+  ParseError rule_error{};
+
+  void clear() {
+    beast_parser.reset();
+    response = {};
+    header_taken = false;
+    rule_error = {};
+  }
+
+  Error feed(std::string& input, const MessageLimits& limits) {
+    if (const Error error = feed_header(*beast_parser, input))
+      return error;
+    if (beast_parser->is_header_done() && !header_taken)
+      if (const Error error = take_header(limits))
+        return error;
+    const Error error = feed_body(*beast_parser, input, limits.max_body_bytes);
+    return !error && has_too_many_fields(*beast_parser, limits) ? beast::error::header_limit
+                                                                : error;
+  }
+
+  Error take_header(const MessageLimits& limits) {
+    auto& message = beast_parser->get();
+    if (has_too_many_fields(*beast_parser, limits))
+      return beast::error::header_limit;
+    response.status = static_cast<int>(message.result_int());
+    response.keep_alive = message.keep_alive();
+    copy_headers(message, response.headers);
+    message.clear();
+    header_taken = true;
+    if (const auto error = check_framing(response.headers, message.version())) {
+      rule_error = *error;
+      return beast::error::bad_value;
+    }
+    return {};
+  }
+
+  bool is_interim() const {
+    return header_taken && response.status >= 100 && response.status < 200 &&
+           response.status != 101;
+  }
 };
 
 ResponseReader::ResponseReader(MessageLimits limits)
@@ -280,13 +324,14 @@
 ResponseReader::~ResponseReader() = default;
 
 std::size_t ResponseReader::memory() const {
-  return memory_of(parser_->beast_parser);
+  return heap_bytes(parser_->response.headers) + memory_of(parser_->beast_parser);
 }
 
 void ResponseReader::expect(bool head_only) {
   head_only_ = head_only;
   begun_ = false;
   error_ = {};
+  parser_->clear();
   auto& parser = parser_->beast_parser;
   parser.emplace();
   set_limits(*parser, limits_);
@@ -301,9 +346,7 @@
   Error error;
   if (!input.empty()) {
     begun_ = true;
-    error = feed(parser, input, limits_.max_body_bytes);
-    if (has_too_many_fields(parser, limits_))
-      error = beast::error::header_limit;
+    error = parser_->feed(input, limits_);
     if (error == beast::error::need_more) {
       error = {};
       if (input.size() > limits_.max_header_bytes)
@@ -313,7 +356,7 @@
   if (!error && ended && !parser.is_done())
     parser.put_eof(error);
   if (error) {
-    error_ = parse_error_of(error);
+    error_ = parser_->rule_error.status != 0 ? parser_->rule_error : parse_error_of(error);
     return ParseResult::invalid;
   }
   if (limits_.require_length && parser.is_header_done() && parser.need_eof()) {
@@ -322,22 +365,16 @@
   }
   if (!parser.is_done())
     return ParseResult::incomplete;
-  const unsigned status = parser.get().result_int();
-  const bool interim = status >= 100 && status < 200 && status != 101;
-  if (!interim)
+  if (!parser_->is_interim())
     return ParseResult::complete;
   expect(head_only_);
   return input.empty() ? ParseResult::incomplete : read(input, ended);
 }
 
 Response ResponseReader::take() {
-  auto message = parser_->beast_parser->release();
-  parser_->beast_parser.reset();
-  Response response;
-  response.status = static_cast<int>(message.result_int());
-  response.keep_alive = message.keep_alive();
-  copy_headers(message, response.headers);
-  response.body = std::move(message.body());
+  Response response = std::move(parser_->response);
+  response.body = std::move(parser_->beast_parser->get().body());
+  parser_->clear();
   return response;
 }
 
--- a/src/http/request_rules.cpp
+++ b/src/http/request_rules.cpp
@@ -91,22 +91,6 @@
                     [&](const Header& field) { return equals_ignoring_case(field.name, name); }));
 }
 
-// The end of the body must be the same for all who read the request, or another request could be
-// hidden in it (RFC 9112, 6).
-std::optional<ParseError> check_framing(const Headers& headers, unsigned version) {
-  const std::string_view length = headers.get("Content-Length");
-  if (count(headers, "Content-Length") > 1 || !std::all_of(length.begin(), length.end(), is_digit))
-    return ParseError{400, "Content-Length is not one number"};
-  const std::size_t codings = count(headers, "Transfer-Encoding");
-  if (codings == 0)
-    return {};
-  if (codings > 1 || headers.has("Content-Length") || version < http_1_1)
-    return ParseError{400, "where the body ends is not clear"};
-  if (!equals_ignoring_case(headers.get("Transfer-Encoding"), "chunked"))
-    return ParseError{501, "Transfer-Encoding is not chunked"};
-  return {};
-}
-
 std::optional<ParseError> check_connection_options(const Headers& headers) {
   for (const std::string_view name : framing_fields)
     if (is_connection_option(headers, name))
@@ -135,6 +119,20 @@
 
 }  // namespace
 
+std::optional<ParseError> check_framing(const Headers& headers, unsigned version) {
+  const std::string_view length = headers.get("Content-Length");
+  if (count(headers, "Content-Length") > 1 || !std::all_of(length.begin(), length.end(), is_digit))
+    return ParseError{400, "Content-Length is not one number"};
+  const std::size_t codings = count(headers, "Transfer-Encoding");
+  if (codings == 0)
+    return {};
+  if (codings > 1 || headers.has("Content-Length") || version < http_1_1)
+    return ParseError{400, "where the body ends is not clear"};
+  if (!equals_ignoring_case(headers.get("Transfer-Encoding"), "chunked"))
+    return ParseError{501, "Transfer-Encoding is not chunked"};
+  return {};
+}
+
 std::optional<ParseError> check_field_lines(std::string_view section) {
   if (has_folded_line(section))
     return ParseError{400, "a field is folded"};
--- a/src/http/request_rules.h
+++ b/src/http/request_rules.h
@@ -21,6 +21,9 @@
 /// Checks the lines of a header section (with the request line) or of a trailer section, as
 /// received.
 std::optional<ParseError> check_field_lines(std::string_view section);
+/// Checks how the end of a message's body is given. It must be the same for all who read the
+/// message, or another message could be hidden in it (RFC 9112, 6).
+std::optional<ParseError> check_framing(const Headers& headers, unsigned version);
 /// Checks the request line and the header fields of a request.
 std::optional<ParseError> check_header(const Request& request);
 /// Checks trailer fields: framing, routing and request modifiers belong to the header section,
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -192,6 +192,51 @@
   });
 }
 
+http::ParseResult read_response(std::string text, http::Response& response) {
+  http::ResponseReader reader({});
+  reader.expect(false);
+  const http::ParseResult result = reader.read(text);
+  if (result == http::ParseResult::complete)
+    response = reader.take();
+  return result;
+}
+
+// Guards against a response whose end or coding is understood in two ways, and that is passed on as
+// if it were sound.
+TEST(ResponseReader, the_end_of_a_response_has_one_meaning) {
+  const std::string chunks = "4\r\ndone\r\n0\r\n\r\n";
+  http::Response response;
+  for (const char* fields :
+       {"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n", "Transfer-Encoding: chunked, chunked\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"})
+    EXPECT_EQ(
+        read_response(std::string("HTTP/1.1 200 OK\r\n") + fields + "\r\n" + chunks, response),
+        http::ParseResult::invalid)
+        << fields;
+  for (const char* fields :
+       {"Content-Length: 4\r\nContent-Length: 4\r\n", "Content-Length: 4, 4\r\n"})
+    EXPECT_EQ(read_response(std::string("HTTP/1.1 200 OK\r\n") + fields + "\r\ndone", response),
+              http::ParseResult::invalid)
+        << fields;
+  EXPECT_EQ(
+      read_response("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks, response),
+      http::ParseResult::complete);
+  EXPECT_EQ(response.body, "done");
+}
+
+// Guards against a trailer that is read as a header field.
+TEST(ResponseReader, trailers_are_no_header_fields) {
+  http::Response response;
+  EXPECT_EQ(read_response("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Busy\r\nTransfer-Encoding: "
+                          "chunked\r\nX-A: 1\r\n\r\n4\r\nfull\r\n0\r\nNot-Started: 1\r\n\r\n",
+                          response),
+            http::ParseResult::complete);
+  EXPECT_EQ(response.status, 503);
+  EXPECT_EQ(response.headers.get("X-A"), "1");
+  EXPECT_FALSE(response.headers.has("Not-Started"));
+}
+
 // Requests of this size or a little more.
 std::string pipelined_requests(std::size_t bytes) {
   std::string requests;
