HTTP server: a crowd of clients costs no new client its answer

Cause: at the limit of clients the cheapest was evicted, and a connection that had just been accepted counted as idle, cheaper than half a request: new ones evicted each other. With none to evict, a new one was closed unread. Change: who has just connected or begun is not evicted (15 ms, 30 ms); a connection that finds nobody to evict waits in the kernel's queue; the listener looks whether one waits before it has another evicted; at the end of a drain it tries again if the system is out of descriptors, and goes on after the errors that accept(2) passes on for single connections.

Soak: unsound requests, repeated ids, clients that leave with much unread, floods, links that split what endpoints get, each as seeded events; a request on a new connection must be read in crowds, too.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -19,15 +19,24 @@
     : loop_(loop),
       settings_(settings),
       handler_(std::move(handler)),
-      listener_(
-          std::make_unique<net::Listener>(loop, settings.listen, [this](int fd) { accept(fd); })) {}
+      listener_(std::make_unique<net::Listener>(
+          loop, settings.listen, [this](int fd) { accept(fd); }, [this] { return may_accept(); })) {
+}
 
 Server::~Server() {
   reset_connections();
 }
 
+bool Server::may_accept() {
+  if (!settings_.evict_idle || clients_.size() < settings_.max_clients || make_room())
+    return true;
+  ++counters_.deferrals;
+  return false;
+}
+
+// A server that evicts clients accepts above the maximum only for the last clients of a drain.
 void Server::accept(int fd) {
-  if (draining_ || (clients_.size() >= settings_.max_clients && !make_room())) {
+  if (!settings_.evict_idle && clients_.size() >= settings_.max_clients) {
     ++counters_.refused;
     ::close(fd);
     return;
@@ -40,8 +49,6 @@
 
 // Evicts clients in the order of ServerConnection::Closable until one more can be accepted.
 bool Server::make_room() {
-  if (!settings_.evict_idle)
-    return false;
   for (int attempt = 0; attempt < max_eviction_attempts && clients_.size() >= settings_.max_clients;
        ++attempt) {
     std::shared_ptr<ServerConnection> cheapest;
@@ -66,10 +73,9 @@
 }
 
 void Server::drain() {
-  close_idle(0);  // makes room, so that all clients in the kernel's queue can be accepted
-  listener_->finish();
+  close_idle(0);  // frees descriptors, so that all clients in the kernel's queue can be accepted
   draining_ = true;
-  close_idle(0);
+  listener_->finish();
 }
 
 void Server::close_idle(std::size_t left) {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -26,6 +26,7 @@
 struct ServerCounters {
   long accepted = 0;            ///< connections
   long refused = 0;             ///< connections closed at once because there were too many
+  long deferrals = 0;           ///< how often connections were left in the kernel's queue
   long invalid_requests = 0;    ///< rejected because they could not be read
   long timed_out_requests = 0;  ///< rejected because their end did not come in time
   long shed_requests = 0;       ///< parts of requests rejected for the limits on clients or memory
@@ -43,7 +44,9 @@
   /// From the accept to the last byte of the first request; zero: the first request has the same
   /// time-outs as the others.
   Duration first_request_timeout{};
-  /// At max_clients, close a client without an open request to accept a new one.
+  /// At max_clients, close a client without an open request to accept a new one. New clients and
+  /// those that have just begun a request are kept; while there are no others, further clients wait
+  /// in the kernel's queue.
   bool evict_idle = false;
   /// Bytes that a client may leave unread before its stream is ended.
   std::size_t stream_backlog = std::size_t{256} * 1024;
@@ -72,6 +75,8 @@
 
   int port() const { return listener_->port(); }
   std::size_t clients() const { return clients_.size(); }
+  /// Whether clients may still be accepted.
+  bool accepting() const { return !listener_->closed(); }
   /// How often a client could not be accepted because no file descriptor was available.
   long fd_exhaustions() const { return listener_->fd_exhaustions(); }
   const ServerCounters& counters() const { return counters_; }
@@ -96,6 +101,7 @@
  private:
   friend class ServerConnection;
   void accept(int fd);
+  bool may_accept();
   bool make_room();
   bool shutting_down() const { return draining_ || shutdown_begun_; }
 
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -16,6 +16,11 @@
 // How long a client may take to close its side after the last response.
 constexpr Duration linger_timeout = std::chrono::seconds(1);
 
+// A client that is about to send a request does so within this time after the accept, and has sent
+// it within the other after its first byte. It is not evicted before. Short, because the time that
+// others wait in the kernel's queue is taken from their deadlines.
+constexpr Duration first_byte_time = std::chrono::milliseconds(15);
+constexpr Duration last_byte_time = std::chrono::milliseconds(30);
 // Of the responses that are given at once, those of this time may come in one go.
 constexpr double burst_seconds = 0.1;
 
@@ -51,12 +56,21 @@
   close_after(first > Duration{} ? first : server_->settings_.idle_timeout);
 }
 
+bool ServerConnection::is_busy() const {
+  return open_exchange_ || stream_->unwritten() > 0;
+}
+
 std::optional<ServerConnection::Closable> ServerConnection::closable() const {
-  if (open_exchange_ || stream_->unwritten() > 0)
+  if (!server_ || is_busy())
     return {};
   if (closing_)
     return Closable{CloseCost::lingering, state_since_};
-  return Closable{reader_.begun() ? CloseCost::partial_request : CloseCost::idle, state_since_};
+  if (!reader_.begun() && !first_request_)
+    return Closable{CloseCost::idle, state_since_};
+  const bool has_begun = reader_.begun();
+  if (server_->loop_.now() < state_since_ + (has_begun ? last_byte_time : first_byte_time))
+    return {};
+  return Closable{has_begun ? CloseCost::partial_request : CloseCost::silent, state_since_};
 }
 
 // Whether the kernel has received bytes that have not been read. The connection must then not be
@@ -171,8 +185,7 @@
 }
 
 void ServerConnection::close_if_idle() {
-  const auto state = closable();
-  if (!server_ || !state || state->cost != CloseCost::idle || has_unread_request())
+  if (!server_ || closing_ || is_busy() || reader_.begun() || has_unread_request())
     return;
   ++server_->counters_.closed_idle;
   close();
@@ -180,9 +193,9 @@
 
 void ServerConnection::evict() {
   const auto state = closable();
-  if (!server_ || !state)
+  if (!state)
     return;
-  if (state->cost == CloseCost::idle) {
+  if (state->cost == CloseCost::idle || state->cost == CloseCost::silent) {
     close_if_idle();
     return;
   }
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -24,6 +24,7 @@
   /// The effect of closing the connection on its client, from the smallest on.
   enum class CloseCost {
     lingering,       ///< the last response has been sent
+    silent,          ///< no request has come yet
     idle,            ///< there is no open request
     partial_request  ///< a part of a request has been received, so the client gets an error
                      ///< response
@@ -41,9 +42,10 @@
   ~ServerConnection() override;
   void start();
 
-  /// Empty while a request is open or a response is not completely written: the connection must
-  /// then not be closed.
+  /// Empty while a request is open or a response is not completely written, and for a short time
+  /// after the connection or a request has begun: the connection must then not be evicted.
   std::optional<Closable> closable() const;
+  /// Closes the connection unless a request is open or has begun.
   void close_if_idle();
   /// Closes the connection to make room for another client.
   void evict();
@@ -70,6 +72,7 @@
   void on_written(net::Stream& stream) override;
   void on_closed(net::Stream& stream, net::CloseReason reason) override;
 
+  bool is_busy() const;
   bool has_unread_request();
   void read_requests();
   bool read_request();
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/Net/SocketAddress.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -16,11 +17,21 @@
 constexpr int backlog = 1024;              // connections that the kernel queues
 constexpr int max_accepts_per_event = 64;  // so that the loop's other sockets are served in between
 constexpr Duration descriptor_retry_interval = std::chrono::milliseconds(50);
+constexpr Duration deferral_interval = std::chrono::milliseconds(5);
+constexpr Duration finish_retry_interval = std::chrono::milliseconds(10);
+constexpr int max_finish_attempts = 100;
 
 bool out_of_descriptors(int error) {
   return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM;
 }
 
+// Whether the call failed for one connection only, or was interrupted; accept(2) passes on errors
+// that the network reported for a connection in the queue. There may be others.
+bool concerns_one_connection(int error) {
+  return !out_of_descriptors(error) && error != EAGAIN && error != EWOULDBLOCK && error != EBADF &&
+         error != EINVAL && error != ENOTSOCK;
+}
+
 Poco::Net::SocketAddress parse_address(const std::string& address) {
   try {
     return Poco::Net::SocketAddress(address);
@@ -51,11 +62,13 @@
 
 }  // namespace
 
-Listener::Listener(Loop& loop, const std::string& address, std::function<void(int)> on_accept)
+Listener::Listener(Loop& loop, const std::string& address, std::function<void(int)> on_accept,
+                   std::function<bool()> may_accept)
     : loop_(loop),
       fd_(listening_socket(parse_address(address), address)),
       port_(bound_port(fd_)),
       on_accept_(std::move(on_accept)),
+      may_accept_(std::move(may_accept)),
       watcher_(std::make_unique<FdWatcher>(loop_, fd_, [this] { accept_pending(); })) {}
 
 Listener::~Listener() {
@@ -66,18 +79,38 @@
   return ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
 }
 
+bool Listener::has_pending() const {
+  pollfd status{fd_, POLLIN, 0};
+  return ::poll(&status, 1, 0) > 0;
+}
+
+// Replaces the retry that is set.
+void Listener::retry_in(Duration wait, Loop::Task task) {
+  loop_.cancel(retry_timer_);
+  retry_timer_ = loop_.in(wait, [this, task = std::move(task)] {
+    retry_timer_ = Loop::no_timer;
+    task();
+  });
+}
+
 void Listener::finish() {
   if (!watcher_)
     return;
+  paused_ = true;
+  watcher_->enable(false);
   for (;;) {
     const int fd = accept_one();
     if (fd >= 0)
       on_accept_(fd);
-    else if (errno != EINTR && errno != ECONNABORTED)
-      break;  // ECONNABORTED ends only one client's connection; the queue may hold others
+    else if (!concerns_one_connection(errno))
+      break;
+  }
+  if (out_of_descriptors(errno) && ++finish_attempts_ < max_finish_attempts) {
+    ++fd_exhaustions_;
+    retry_in(finish_retry_interval, [this] { finish(); });
+    return;
   }
   loop_.cancel(retry_timer_);
-  paused_ = true;
   watcher_.reset();
 }
 
@@ -90,18 +123,28 @@
 }
 
 void Listener::accept_pending() {
+  const auto resume = [this] { watcher_->enable(!paused_); };
   for (int accepted = 0; accepted < max_accepts_per_event && !paused_; ++accepted) {
+    if (!has_pending())
+      return;
+    if (may_accept_ && !may_accept_()) {
+      watcher_->enable(false);
+      retry_in(deferral_interval, resume);
+      return;
+    }
     const int fd = accept_one();
     if (fd >= 0) {
       on_accept_(fd);
       continue;
     }
+    if (concerns_one_connection(errno))
+      continue;
     if (!out_of_descriptors(errno))
       return;
     // While no descriptor is available the socket stays readable, and the loop would spin on it.
     ++fd_exhaustions_;
     watcher_->enable(false);
-    retry_timer_ = loop_.in(descriptor_retry_interval, [this] { watcher_->enable(!paused_); });
+    retry_in(descriptor_retry_interval, resume);
     return;
   }
 }
--- a/src/platform/process.cpp
+++ b/src/platform/process.cpp
@@ -151,6 +151,7 @@
   const http::ServerCounters& counters = router_.server_counters();
   log_.info("connections", {{"accepted", log::text(counters.accepted)},
                             {"refused", log::text(counters.refused)},
+                            {"deferrals", log::text(counters.deferrals)},
                             {"closed_idle", log::text(counters.closed_idle)},
                             {"lost_with_request", log::text(counters.lost_with_request)},
                             {"pipelines_dropped", log::text(counters.pipelines_dropped)},
--- a/src/proxy/router.cpp
+++ b/src/proxy/router.cpp
@@ -45,7 +45,8 @@
                  settings.max_endpoints),
       recent_client_ids_(id_retention(module_settings.requests.request_classes), max_recent_ids,
                          settings.seed),
-      drain_monitor_(loop, [this] { return open_requests() == 0 && clients() == 0; }),
+      drain_monitor_(
+          loop, [this] { return open_requests() == 0 && clients() == 0 && !server_->accepting(); }),
       outcome_reporter_(loop, releases, counters_) {
   settings_.server.on_rejection = [this](const http::RejectedInput& rejected) {
     request_log_.invalid_request(rejected, loop_.now());
@@ -103,13 +104,6 @@
     reject_before_routing(exchange, parsed.client_id, *parsed.rejection);
     return;
   }
-  // The close may stand behind requests that were read before it.
-  if (exchange->client_closed()) {
-    ++counters_.dropped;
-    request_log_.dropped(parsed.client_id, loop_.now());
-    exchange->abort_connection();
-    return;
-  }
   if (in_flight_.client_id_in_use(parsed.client_id)) {
     reject_before_routing(exchange, parsed.client_id, {400, "a txn of that id is open"});
     return;
@@ -119,6 +113,13 @@
                           {400, "a request of that id has come before"});
     return;
   }
+  // The close may stand behind requests that were read before it.
+  if (exchange->client_closed()) {
+    ++counters_.dropped;
+    request_log_.dropped(parsed.client_id, loop_.now());
+    exchange->abort_connection();
+    return;
+  }
   accept(exchange, std::move(parsed));
 }
 
--- a/tests/soak/clients.cpp
+++ b/tests/soak/clients.cpp
@@ -47,12 +47,14 @@
 }  // namespace
 
 Client::Client(net::Loop& loop, int port, const Plan& plan, Observer& observer,
-               TimePoint traffic_start, std::uint32_t number)
+               TimePoint traffic_start, std::uint32_t number,
+               std::function<void(const std::string&)> on_left)
     : loop_(loop),
       port_(port),
       plan_(plan),
       observer_(observer),
       traffic_start_(traffic_start),
+      on_left_(std::move(on_left)),
       random_(plan.seed * 1000 + number),
       has_long_pauses_(std::bernoulli_distribution(0.3)(random_)) {
   schedule(think_time(), [this] { connect(); });
@@ -208,10 +210,10 @@
   });
 }
 
-// The proxy did not read the request. While it accepts connections and there are no bad clients, it
-// must not leave the first request on a new connection unread.
+// The proxy did not read the request. While it accepts connections, it must not leave the first
+// request on a new connection unread, whatever other clients do.
 void Client::on_request_not_read() {
-  if (first_on_connection_ && resent_ && may_connect() && !plan_.bad_clients_at)
+  if (first_on_connection_ && resent_ && may_connect())
     observer_.add_breach("request " + std::to_string(request_.id) +
                          " was not read on a new connection");
   complete_request(unreached);
@@ -225,6 +227,8 @@
   open_ = false;
   loop_.cancel(deadline_timer_);
   observer_.client_disconnected(request_);
+  if (observer_.was_forwarded(request_))
+    on_left_(bytes_);
   schedule(think_time(), [this] { connect(); });
 }
 
--- a/tests/soak/clients.h
+++ b/tests/soak/clients.h
@@ -2,6 +2,7 @@
 /// ones.
 #pragma once
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <random>
 #include <string>
@@ -19,8 +20,9 @@
 class Client {
  public:
   /// `number` distinguishes the clients of a run, each of which has its own random sequence.
+  /// `on_left` gets the bytes of a request that was forwarded and whose client then disconnected.
   Client(net::Loop& loop, int port, const Plan& plan, Observer& observer, TimePoint traffic_start,
-         std::uint32_t number);
+         std::uint32_t number, std::function<void(const std::string& bytes)> on_left);
   ~Client();
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
@@ -50,6 +52,7 @@
   const Plan& plan_;
   Observer& observer_;
   TimePoint traffic_start_;
+  std::function<void(const std::string&)> on_left_;
   std::mt19937 random_;
   bool has_long_pauses_;  ///< between requests, so that its connection is idle
   std::unique_ptr<Connection> connection_{};
--- a/tests/soak/observer.cpp
+++ b/tests/soak/observer.cpp
@@ -133,7 +133,7 @@
 long Observer::attempt_arrived(const Arrival& arrival, bool rejected) {
   const long attempt_id = next_attempt_id_++;
   const std::string name = std::string(proxy_name) + "." + arrival.request_id;
-  record::request_arrived(endpoints_, stalls_.earliest(), rejected ? "refused" : "taken",
+  record::request_arrived(endpoints_, arrival_time(arrival), rejected ? "refused" : "taken",
                           {.endpoint = arrival.endpoint,
                            .build = arrival.build,
                            .work_id = attempt_id,
@@ -148,6 +148,14 @@
   return attempt_id;
 }
 
+// The earliest time at which the attempt can have arrived. Not before its client sent the request:
+// the first attempt of two would otherwise seem to be longer ago than it was.
+TimePoint Observer::arrival_time(const Arrival& arrival) const {
+  const auto request = requests_.find(arrival.request_id);
+  const TimePoint earliest = stalls_.earliest();
+  return request == requests_.end() ? earliest : std::max(earliest, request->second.sent);
+}
+
 void Observer::check_rollback(const Arrival& arrival) {
   const bool rolled_back = release_ && release_->phase == ReleasePhase::rolling_back &&
                            stalls_.earliest() > release_sent_at_ + rollback_grace;
@@ -184,7 +192,8 @@
 }
 
 void Observer::request_sent(const ClientRequest& request) {
-  requests_[std::to_string(request.id)] = {request.deadline, TimePoint{}};
+  requests_[std::to_string(request.id)] = {
+      .sent = request.sent, .deadline = request.deadline, .disconnected_at = TimePoint{}};
 }
 
 bool Observer::was_forwarded(const ClientRequest& request) const {
--- a/tests/soak/observer.h
+++ b/tests/soak/observer.h
@@ -94,10 +94,12 @@
 
  private:
   struct SentRequest {
+    TimePoint sent;
     TimePoint deadline;
     TimePoint disconnected_at;  ///< zero while the client is connected
     bool forwarded = false;
   };
+  TimePoint arrival_time(const Arrival& arrival) const;
   void check_arrival(const Arrival& arrival);
   void check_rollback(const Arrival& arrival);
 
--- a/tests/soak/plan.cpp
+++ b/tests/soak/plan.cpp
@@ -4,6 +4,8 @@
 #include <csignal>
 #include <random>
 
+#include "faults/floods.h"
+
 namespace robinhoist::soak {
 namespace {
 
@@ -15,6 +17,7 @@
 constexpr Duration kill_margin = 700ms;
 constexpr std::uint32_t partial_requests_sequence = 1000000;
 constexpr std::uint32_t canary_sequence = 2000000;
+constexpr std::uint32_t unsound_sequence = 3000000;
 // Time for the stages of a canary and the news of its rollback.
 constexpr Duration canary_duration = 5s;
 
@@ -37,6 +40,7 @@
     draw_faults();
     draw_partial_requests();
     draw_canary();
+    draw_unsound_clients();
     return plan_;
   }
 
@@ -137,6 +141,19 @@
     postpone_end(canary_duration);
   }
 
+  void draw_unsound_clients() {
+    random_.seed(plan_.seed + unsound_sequence);
+    plan_.has_unsound_clients = chance(0.5);
+    plan_.has_split_links = chance(0.3);
+    if (!chance(0.25))
+      return;
+    plan_.flood = static_cast<std::size_t>(
+        integer(0, static_cast<std::int64_t>(faults::floods().size()) - 1));
+    if (faults::floods()[*plan_.flood].is_forwarded)  // its ids are known to no client
+      plan_.flood = 0;
+    plan_.flood_at = between(50ms, plan_.terminate);
+  }
+
   void postpone_end(Duration time) {
     for (SignalEvent& signal : plan_.signals)
       if (signal.at >= plan_.terminate)
@@ -166,6 +183,12 @@
     text += ", crowd";
   if (partial_requests_at)
     text += ", partial requests";
+  if (has_unsound_clients)
+    text += ", unsound";
+  if (flood)
+    text += std::string(", flood of ") + faults::floods()[*flood].name;
+  if (has_split_links)
+    text += ", split links";
   if (list_stall)
     text += ", silent list";
   if (canary)
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -61,6 +61,10 @@
   /// The open watches of the endpoint list stop sending data.
   std::optional<Duration> list_stall{};
   std::optional<Duration> bad_clients_at{};  ///< many misbehaving clients connect
+  bool has_unsound_clients = false;          ///< unsound requests, repeated ids, clients that leave
+  std::optional<std::size_t> flood{};        ///< the kind that a client sends at full speed
+  std::optional<Duration> flood_at{};
+  bool has_split_links = false;  ///< bytes from and to endpoints arrive in small pieces
   /// Clients send most of a large request and stop; together more than the program's memory.
   std::optional<Duration> partial_requests_at{};
   std::optional<CanaryPlan> canary{};
--- a/tests/soak/run.cpp
+++ b/tests/soak/run.cpp
@@ -14,11 +14,14 @@
 #include "audit/audit.h"
 #include "clients.h"
 #include "endpoints.h"
+#include "faults/fault_proxy.h"
+#include "faults/floods.h"
 #include "http/connection_pool.h"
 #include "http/status.h"
 #include "observer.h"
 #include "plan.h"
 #include "services.h"
+#include "unsound_clients.h"
 
 namespace robinhoist::soak {
 namespace {
@@ -38,6 +41,9 @@
 // Less than the partial requests together.
 constexpr int small_memory_mb = 4;
 constexpr Duration memory_check_interval = 10ms;
+// Of split links.
+constexpr std::size_t max_piece = 61;
+constexpr Duration piece_interval = 1ms;
 constexpr long kib_per_mib = 1024;
 
 class Run {
@@ -50,10 +56,11 @@
         list_(observer_),
         release_(loop_, plan_, observer_,
                  [this](const std::string& line) { return write_release_watches(line); }),
-        bad_clients_(loop_, port_, observer_, plan_.seed + 2) {
+        bad_clients_(loop_, port_, observer_, plan_.seed + 2),
+        unsound_clients_(loop_, port_, observer_, plan_.seed + 3) {
     for (std::size_t i = 0; i < endpoints_.count(); ++i)
       list_.add({.name = endpoints_.name(i),
-                 .address = "127.0.0.1:" + std::to_string(endpoints_.port(i)),
+                 .address = "127.0.0.1:" + std::to_string(reachable_port(i)),
                  .zone = "here",
                  .build = endpoints_.build(i)});
     add_services();
@@ -76,6 +83,16 @@
   }
 
  private:
+  // The port at which the program reaches an endpoint.
+  int reachable_port(std::size_t endpoint) {
+    if (!plan_.has_split_links)
+      return endpoints_.port(endpoint);
+    endpoint_links_.push_back(std::make_unique<faults::FaultProxy>(
+        loop_, endpoints_.port(endpoint),
+        faults::LinkFaults{.max_piece = max_piece, .piece_interval = piece_interval}));
+    return endpoint_links_.back()->port();
+  }
+
   std::string config_file() const { return folder_ + "/config.json"; }
 
   void add_services() { services_.push_back(std::make_unique<Services>(loop_, list_, release_)); }
@@ -130,8 +147,9 @@
     loop_.cancel(start_limit_);
     for (int i = 0; i < plan_.clients; ++i)
       timers_.at(start, [this, start, i] {
-        clients_.push_back(std::make_unique<Client>(loop_, port_, plan_, observer_, start,
-                                                    static_cast<std::uint32_t>(i)));
+        clients_.push_back(std::make_unique<Client>(
+            loop_, port_, plan_, observer_, start, static_cast<std::uint32_t>(i),
+            [this](const std::string& bytes) { repeat_request(bytes); }));
       });
     for (const SignalEvent& signal : plan_.signals)
       timers_.at(start + signal.at, [this, &signal] { send_signal(signal); });
@@ -150,6 +168,12 @@
     if (plan_.partial_requests_at)
       timers_.at(start + *plan_.partial_requests_at,
                  [this] { bad_clients_.send_large_partial_requests(partial_request_count); });
+    if (plan_.has_unsound_clients)
+      timers_.at(start, [this] { unsound_clients_.start(); });
+    if (plan_.flood)
+      timers_.at(start + *plan_.flood_at, [this] {
+        flooder_ = std::make_unique<faults::Flooder>(port_, faults::floods()[*plan_.flood].next);
+      });
     release_.start(start);
     watch_memory();
     terminate_at_ = start + plan_.terminate;
@@ -157,6 +181,12 @@
     watch_for_exit();
   }
 
+  // Another client sends the request of one that has left.
+  void repeat_request(const std::string& bytes) {
+    if (plan_.has_unsound_clients)
+      unsound_clients_.repeat(bytes);
+  }
+
   void send_signal(const SignalEvent& signal) {
     if (signal.config == ConfigChange::move) {
       services_.back()->shut_down();
@@ -242,6 +272,9 @@
   std::vector<std::unique_ptr<Services>> services_{};
   std::vector<std::unique_ptr<Client>> clients_{};
   BadClients bad_clients_;
+  UnsoundClients unsound_clients_;
+  std::unique_ptr<faults::Flooder> flooder_{};
+  std::vector<std::unique_ptr<faults::FaultProxy>> endpoint_links_{};
   std::unique_ptr<tests::ChildProcess> proxy_{};
   net::Loop::Timer start_limit_ = net::Loop::no_timer;
   TimePoint terminate_at_{};
--- a/tests/unsound_requests_test.cpp
+++ b/tests/unsound_requests_test.cpp
@@ -10,6 +10,7 @@
 
 #include "faults/fault_proxy.h"
 #include "platform_process.h"
+#include "raw_requests.h"
 
 namespace robinhoist {
 namespace {
@@ -17,56 +18,6 @@
 using namespace std::chrono_literals;
 using namespace tests;
 
-constexpr int hexadecimal = 16;
-
-struct RawRequest {
-  std::string name;
-  std::string text;
-};
-
-std::string unescaped(const std::string& text) {
-  std::string bytes;
-  for (std::size_t i = 0; i < text.size(); ++i) {
-    if (text[i] != '\\') {
-      bytes += text[i];
-      continue;
-    }
-    const char escape = text.at(++i);
-    if (escape == 'x') {
-      bytes += static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, hexadecimal));
-      i += 2;
-    } else if (escape == 'r' || escape == 'n' || escape == 't') {
-      bytes += escape == 'r' ? '\r' : escape == 'n' ? '\n' : '\t';
-    } else {
-      bytes += escape;
-    }
-  }
-  return bytes;
-}
-
-std::string replace_all(std::string text, const std::string& from, const std::string& to) {
-  for (std::size_t at = text.find(from); at != std::string::npos; at = text.find(from, at))
-    text.replace(at, from.size(), to);
-  return text;
-}
-
-std::vector<RawRequest> read_requests(const std::string& file) {
-  std::vector<RawRequest> requests;
-  std::ifstream lines(file);
-  for (std::string line; std::getline(lines, line);) {
-    const std::size_t colon = line.find(": ");
-    if (line.empty() || line[0] == '#')
-      continue;
-    requests.push_back({line.substr(0, colon), line.substr(colon + 2)});
-  }
-  return requests;
-}
-
-std::string with_id(const std::string& text, const std::string& id) {
-  const std::string fields = "Host: x\\r\\nRequest-Id: {id}\\r\\nRequest-Timeout: 8000m\\r\\n";
-  return unescaped(replace_all(replace_all(text, "{fields}", fields), "{id}", id));
-}
-
 // How a request is sent.
 enum class Pace { at_once, in_pieces };
 
@@ -148,10 +99,6 @@
   faults::FaultProxy link_{loop_, port_, {.max_piece = 23, .piece_interval = 1ms}};
 };
 
-std::string requests_file(const std::string& name) {
-  return std::string(TESTS) + "/requests/" + name + ".txt";
-}
-
 TEST_F(RawRequests, sound_ones_are_served) {
   send_all(read_requests(requests_file("sound")));
   ASSERT_FALSE(sent_.empty());
