HTTP server: one client that is always about to be read blocks no eviction

Cause: of the clients to evict, the cheapest was tried eight times; the flooding client counts as idle, has unread bytes, is therefore kept, and was the cheapest each time. Before the deferral it would have had new clients refused. Why it works: all clients that may be evicted are tried in their order.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -2,19 +2,14 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <optional>
 #include <utility>
+#include <vector>
 
 #include "http/server_connection.h"
 
 namespace robinhoist::http {
-namespace {
-
-// A client chosen for eviction may just have sent a request; this limits how many are tried.
-constexpr int max_eviction_attempts = 8;
-
-}  // namespace
-
 Server::Server(net::Loop& loop, const ServerSettings& settings, Handler handler)
     : loop_(loop),
       settings_(settings),
@@ -47,22 +42,23 @@
   client->start();
 }
 
-// Evicts clients in the order of ServerConnection::Closable until one more can be accepted.
+// Evicts clients in the order of ServerConnection::Closable until one more can be accepted. One
+// that has just sent a request stays, and the next one is tried.
 bool Server::make_room() {
-  for (int attempt = 0; attempt < max_eviction_attempts && clients_.size() >= settings_.max_clients;
-       ++attempt) {
-    std::shared_ptr<ServerConnection> cheapest;
-    std::optional<ServerConnection::Closable> lowest;
-    for (const auto& client : clients_) {
-      const auto closable = client->closable();
-      if (!closable || (lowest && !(*closable < *lowest)))
-        continue;
-      cheapest = client;
-      lowest = closable;
-    }
-    if (!cheapest)
-      return false;
-    cheapest->evict();
+  struct Candidate {
+    ServerConnection::Closable closable;
+    std::shared_ptr<ServerConnection> client;
+  };
+  std::vector<Candidate> candidates;
+  for (const auto& client : clients_)
+    if (const auto closable = client->closable())
+      candidates.push_back({*closable, client});
+  std::sort(candidates.begin(), candidates.end(),
+            [](const Candidate& a, const Candidate& b) { return a.closable < b.closable; });
+  for (const Candidate& candidate : candidates) {
+    if (clients_.size() < settings_.max_clients)
+      break;
+    candidate.client->evict();
   }
   return clients_.size() < settings_.max_clients;
 }
--- a/tests/client_crowd_test.cpp
+++ b/tests/client_crowd_test.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "faults/flooder.h"
 #include "platform_process.h"
 
 namespace robinhoist {
@@ -42,8 +43,9 @@
 
 struct Crowd {
   const char* name;
-  std::string first;  ///< sent at once
-  std::string slow;   ///< sent again and again, a little later each time
+  std::string first;          ///< sent at once
+  std::string slow;           ///< sent again and again, a little later each time
+  bool beside_flood = false;  ///< another client sends readiness checks at full speed
 };
 
 const std::vector<Crowd>& crowds() {
@@ -56,6 +58,7 @@
       {"half_a_large_body", body_head + std::string(60000, 'x'), ""},
       {"slow_head", "GET /look HTTP/1.1\r\nHost: x\r\nX-Slow: ", "x"},
       {"slow_body", body_head, std::string(400, 'x')},
+      {"half_a_head_and_a_flood", "GET /look HTTP/1.1\r\nHost: x\r\nRequest-I", "", true},
       {"many_short_fields", "GET /look HTTP/1.1\r\n" + many_fields(), "a:b\r\n"}};
   return all;
 }
@@ -70,6 +73,9 @@
     when_ready([&] {
       crowd_.resize(crowd_size);
       keep_crowd();
+      if (crowds()[GetParam()].beside_flood)
+        flooder_ = std::make_unique<faults::Flooder>(
+            port_, [](int) { return std::string("GET /up HTTP/1.1\r\nHost: x\r\n\r\n"); });
       watch_memory(proxy.pid);
       loop_.in(200ms, [this, requests] { send_requests(requests); });
     });
@@ -132,6 +138,7 @@
   }
 
   std::vector<Member> crowd_{};
+  std::unique_ptr<faults::Flooder> flooder_{};
   std::unique_ptr<RawClient> usual_client_{};
 };
 
