Proxy: start times of endpoints do not move with the wall clock

Found by reading: the start of an endpoint was reckoned from the wall clock at the proxy's own start. A start that is listed again after a step moved, too. Change: a start that is listed again is the same instant; a new one is reckoned from the clock as it is now, is never in the future, and for a minute after a step the latest of the possible instants is taken, so that a cold endpoint is not pushed over. Not done: times in traces still count from the clock at the start.

--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -25,12 +25,12 @@
 
 UpstreamPool::UpstreamPool(net::Loop& loop, http::ConnectionPoolSettings connection_settings,
                            const module_settings::ModuleSettings& module_settings,
-                           const log::Logger& log, WallTime wall_start, std::size_t max_endpoints)
+                           const log::Logger& log, WallClock wall_clock, std::size_t max_endpoints)
     : loop_(loop),
       connection_settings_(std::move(connection_settings)),
       module_settings_(module_settings),
       log_(log),
-      wall_start_(wall_start),
+      wall_clock_(std::move(wall_clock)),
       max_endpoints_(max_endpoints) {}
 
 std::vector<EndpointInfo> UpstreamPool::apply(const registry::Update& update) {
@@ -84,10 +84,28 @@
   return removed;
 }
 
-EndpointInfo UpstreamPool::info_of(int index, const registry::Endpoint& entry) const {
+EndpointInfo UpstreamPool::info_of(int index, const registry::Endpoint& entry) {
+  Upstream& upstream = at(index);
+  set_start(upstream, entry.started);
   const std::uint64_t order = XXH64(entry.name.data(), entry.name.size(), 0);
-  return registry::endpoint_info(entry, index, module_settings_.zone_index(entry.zone), order,
-                                 wall_start_);
+  EndpointInfo info = registry::endpoint_info(entry, index, module_settings_.zone_index(entry.zone),
+                                              order, WallTime{});
+  info.started = upstream.started;
+  return info;
+}
+
+// A start that is listed again is the same instant, whatever the wall clock shows by now.
+void UpstreamPool::set_start(Upstream& upstream, WallTime listed_start) {
+  if (upstream.listed_start == listed_start)
+    return;
+  upstream.listed_start = listed_start;
+  if (listed_start == WallTime{})
+    upstream.started = TimePoint{};
+  else
+    upstream.started = wall_clock_offset_.to_run_time(listed_start, loop_.now(), wall_clock_());
+  // Zero stands for a start long ago.
+  if (listed_start != WallTime{} && upstream.started == TimePoint{})
+    upstream.started = TimePoint(Duration(1));
 }
 
 // Done before new endpoints are added, so that they can use the slots.
--- a/src/proxy/upstream_pool.h
+++ b/src/proxy/upstream_pool.h
@@ -4,6 +4,7 @@
 /// The pool converts updates of the endpoint registry into input of the decision engine. The slot
 /// of an endpoint that was removed long ago is reused, so that the number of slots stays bounded.
 #pragma once
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -17,6 +18,7 @@
 #include "policy/endpoint.h"
 #include "registry/registry.h"
 #include "time/time_types.h"
+#include "time/wall_clock_offset.h"
 
 namespace robinhoist::proxy {
 
@@ -27,6 +29,8 @@
   std::string name{};
   int build = 0;
   EndpointPhase phase = EndpointPhase::removed;
+  WallTime listed_start{};    ///< start of its present process, as listed
+  TimePoint started{};        ///< the same in the time of this run; zero: long ago
   TimePoint build_started{};  ///< start of its first process with this build; zero: long ago
   std::unique_ptr<http::ConnectionPool> connections{};
   int in_flight = 0;                 ///< attempts that have not ended
@@ -40,12 +44,13 @@
 
 class UpstreamPool {
  public:
-  /// `wall_start` is the wall-clock time of the loop's time zero, needed to convert the start times
-  /// of endpoints.
+  using WallClock = std::function<WallTime()>;
+
+  /// `wall_clock` is needed to convert the start times of endpoints; it may be stepped.
   /// At most `max_endpoints` are known; see apply().
   UpstreamPool(net::Loop& loop, http::ConnectionPoolSettings connection_settings,
                const module_settings::ModuleSettings& module_settings, const log::Logger& log,
-               WallTime wall_start, std::size_t max_endpoints);
+               WallClock wall_clock, std::size_t max_endpoints);
 
   /// Applies an update and returns the changes as input of the decision engine. Idle connections to
   /// removed endpoints are closed. An endpoint with an invalid address is logged and skipped, and
@@ -74,7 +79,8 @@
   std::optional<std::size_t> reusable_slot(TimePoint removed_before) const;
   void list(const registry::Endpoint& entry);
   std::optional<EndpointInfo> remove_moved(const registry::Endpoint& entry);
-  EndpointInfo info_of(int index, const registry::Endpoint& entry) const;
+  EndpointInfo info_of(int index, const registry::Endpoint& entry);
+  void set_start(Upstream& upstream, WallTime listed_start);
   void remove_unlisted(const registry::Update& complete);
   void refresh_connections();
 
@@ -82,7 +88,8 @@
   http::ConnectionPoolSettings connection_settings_;
   const module_settings::ModuleSettings& module_settings_;
   const log::Logger& log_;
-  WallTime wall_start_;
+  WallClock wall_clock_;
+  WallClockOffset wall_clock_offset_{};
   std::size_t max_endpoints_;
   std::size_t above_maximum_ = 0;  // entries of the current update that were skipped
   std::vector<Upstream> upstreams_{};
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -97,7 +97,7 @@
   net::Loop loop(net::steady_now());
   const log::Logger log("test", "off");
   const auto settings = platform::decode_config(config_text()).module_settings;
-  proxy::UpstreamPool pool(loop, {}, settings, log, net::wall_now(), max_endpoints);
+  proxy::UpstreamPool pool(loop, {}, settings, log, net::wall_now, max_endpoints);
   const auto apply = [&](bool complete, EndpointPhase phase,
                          const std::vector<std::string>& names) {
     loop.advance(1ms);
@@ -115,6 +115,38 @@
   EXPECT_EQ(pool.slots().size(), max_endpoints);
 }
 
+// Guards against a wall clock that is stepped: a start that was listed before stays where it was,
+// and a new one is neither taken for one long ago, so that a cold endpoint is pushed over, nor for
+// one in the future.
+TEST(UpstreamPool, start_times_do_not_move_with_the_wall_clock) {
+  for (const Duration step : {Duration(1h), Duration(-1h), Duration(2s), Duration(-2s)}) {
+    net::Loop loop(net::steady_now());
+    const log::Logger log("test", "off");
+    const auto settings = platform::decode_config(config_text()).module_settings;
+    WallTime wall_zero{1000000s};
+    const auto wall_now = [&] { return wall_zero + loop.now().time_since_epoch(); };
+    proxy::UpstreamPool pool(loop, {}, settings, log, wall_now, 10);
+    const auto started = [&](const char* name, WallTime start) {
+      registry::Update update = endpoint_update(false, EndpointPhase::ready, {name});
+      update.entries[0].started = start;
+      return pool.apply(update).at(0).started;
+    };
+    loop.advance(100s);
+    const WallTime before_step = wall_now() - 500ms;
+    const TimePoint known = started("known", before_step);
+    EXPECT_LE(known, loop.now() - 400ms);
+    wall_zero += step;
+    EXPECT_EQ(started("known", before_step), known);
+    // Stamped before the step, by the page read afterwards.
+    EXPECT_GE(started("late", before_step), known - 100ms);
+    EXPECT_LE(started("late", before_step), loop.now());
+    const TimePoint restart = loop.now();
+    EXPECT_GE(started("known", wall_now()), restart - 100ms);
+    EXPECT_LE(started("new", wall_now() - 1ms), loop.now());
+    EXPECT_GE(started("new", wall_now() - 1ms), restart - 100ms);
+  }
+}
+
 // The settings of a different customer: the same values with other names.
 std::string renamed(std::string text) {
   struct Renaming {
