--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -80,7 +80,7 @@
     finish_call();
   update_charge();
   if (pool_)
-    enforce_memory_limit(pool_->loop_.now());
+    enforce_memory_limit(pool_->loop_);
 }
 
 std::optional<TimePoint> ClientConnection::releasable_since() const {
--- a/src/http/memory_budget.cpp
+++ b/src/http/memory_budget.cpp
@@ -28,7 +28,7 @@
 }
 
 void MemoryBudget::enforce(TimePoint now) {
-  while (used_ > limit_) {
+  while (is_exceeded()) {
     MemoryHolder* holder = costliest(now);
     if (!holder)
       return;
@@ -91,9 +91,9 @@
     budget_->holders_.erase(position_);
 }
 
-void RegisteredMemoryHolder::enforce_memory_limit(TimePoint now) {
-  if (budget_)
-    budget_->enforce(now);
+void RegisteredMemoryHolder::enforce_memory_limit(const net::Loop& loop) {
+  if (budget_ && budget_->is_exceeded())
+    budget_->enforce(loop.now());
 }
 
 }  // namespace robinhoist::http
--- a/src/http/memory_budget.h
+++ b/src/http/memory_budget.h
@@ -11,10 +11,14 @@
 #include <memory>
 #include <optional>
 
+#include "net/loop.h"
 #include "time/time_types.h"
 
 namespace robinhoist::http {
 
+/// The text of a rejection for lack of memory or connections, with status_service_unavailable.
+inline constexpr const char* overload_message = "no room: come again";
+
 /// What memory is held for.
 enum class MemoryUse {
   partial_request,  ///< received parts of requests that are not complete
@@ -46,6 +50,7 @@
 
   std::size_t limit() const { return limit_; }
   std::size_t used() const { return used_; }
+  bool is_exceeded() const { return used_ > limit_; }
   std::size_t used(MemoryUse use) const { return used_by_.at(static_cast<std::size_t>(use)); }
   /// The largest total so far.
   std::size_t peak() const { return peak_; }
@@ -107,7 +112,7 @@
 
  protected:
   /// Enforces the limit of the budget, if there is one; see MemoryBudget::enforce().
-  void enforce_memory_limit(TimePoint now);
+  void enforce_memory_limit(const net::Loop& loop);
 
  private:
   std::shared_ptr<MemoryBudget> budget_;
--- a/src/http/request_rules.cpp
+++ b/src/http/request_rules.cpp
@@ -47,7 +47,8 @@
       if (i + 2 >= text.size() || !is_hex_digit(text[i + 1]) || !is_hex_digit(text[i + 2]))
         return false;
       i += 2;
-    } else if (!is_unreserved_or_delimiter(text[i]) && more.find(text[i]) == more.npos) {
+    } else if (!is_unreserved_or_delimiter(text[i]) &&
+               more.find(text[i]) == std::string_view::npos) {
       return false;
     }
   }
@@ -142,11 +143,11 @@
 std::optional<ParseError> check_header(const Request& request) {
   if (!is_target(request.target))
     return ParseError{400, "the target is not a path and a query"};
-  if (const auto error = check_host(request.headers, request.version))
+  if (auto error = check_host(request.headers, request.version))
     return error;
-  if (const auto error = check_framing(request.headers, request.version))
+  if (auto error = check_framing(request.headers, request.version))
     return error;
-  if (const auto error = check_expectation(request))
+  if (auto error = check_expectation(request))
     return error;
   return check_connection_options(request.headers);
 }
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -25,7 +25,6 @@
 constexpr double burst_seconds = 0.1;
 
 const ParseError surplus_bytes{400, "the bytes behind the request are no request"};
-const ParseError overload_rejection{status_service_unavailable, overload_message};
 
 }  // namespace
 
@@ -90,7 +89,7 @@
     read_requests();
   update_charges();
   if (server_)
-    enforce_memory_limit(server_->loop_.now());
+    enforce_memory_limit(server_->loop_);
 }
 
 std::optional<TimePoint> ServerConnection::releasable_since() const {
@@ -102,11 +101,15 @@
 void ServerConnection::release_memory() {
   const bool is_partial = !closing_ && reader_.begun();
   if (is_partial && stream_->unwritten() == 0)
-    reject(&ServerCounters::shed_requests, overload_rejection);
+    shed_partial_request();
   else
     close();
 }
 
+void ServerConnection::shed_partial_request() {
+  reject(&ServerCounters::shed_requests, {status_service_unavailable, overload_message});
+}
+
 // Bytes that wait behind an open request belong to it: they are not read before it is answered.
 void ServerConnection::update_charges() {
   received_.set(open_exchange_ ? MemoryUse::open_request : MemoryUse::partial_request,
@@ -200,7 +203,7 @@
     return;
   }
   if (state->cost == CloseCost::partial_request)
-    reject(&ServerCounters::shed_requests, overload_rejection);
+    shed_partial_request();
   close();
 }
 
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -79,6 +79,7 @@
   void dispatch(Request request);
   void finish_exchange(bool keep_alive);
   void fail_open_request();
+  void shed_partial_request();
   void reject(long ServerCounters::*count, const ParseError& error);
   void drop_pipelined_requests();
   void close_after(Duration timeout);
--- a/src/http/status.h
+++ b/src/http/status.h
@@ -10,7 +10,4 @@
 inline constexpr int status_too_many_requests = 429;
 inline constexpr int status_service_unavailable = 503;
 
-/// The text of a rejection for lack of memory or connections, with status_service_unavailable.
-inline constexpr const char* overload_message = "no room: come again";
-
 }  // namespace robinhoist::http
--- a/tests/client_flood_test.cpp
+++ b/tests/client_flood_test.cpp
@@ -108,6 +108,7 @@
  private:
   std::vector<std::unique_ptr<SoundClient>> make_sound_clients() {
     std::vector<std::unique_ptr<SoundClient>> clients;
+    clients.reserve(sound_client_count);
     for (int i = 0; i < sound_client_count; ++i)
       clients.push_back(std::make_unique<SoundClient>(loop_, port_));
     return clients;
