--- a/tests/client_crowd_test.cpp
+++ b/tests/client_crowd_test.cpp
@@ -19,19 +19,9 @@
 
 constexpr int crowd_size = 300;  // more than the descriptors of the configuration
 constexpr long memory_limit_kb = 32L * 1024;
-#ifdef __SANITIZE_ADDRESS__
-constexpr bool memory_is_comparable = false;
-#else
-constexpr bool memory_is_comparable = true;
-#endif
 
 std::string crowded_config() {
-  std::string text = replace_once(config_text(), R"("memory_mb": 64)", R"("memory_mb": 32)");
-  // Time limits are not tested here and must not be reached on a busy machine.
-  for (int request_class = 0; request_class < 3; ++request_class)
-    text = replace_once(text, R"("goal_time_ms": 300.0, "deadline_ms": 400.0)",
-                        R"("goal_time_ms": 4000.0, "deadline_ms": 8000.0)");
-  return text;
+  return replace_once(patient_config(), R"("memory_mb": 64)", R"("memory_mb": 32)");
 }
 
 std::string many_fields() {
--- a/tests/client_disconnect_test.cpp
+++ b/tests/client_disconnect_test.cpp
@@ -28,15 +28,6 @@
   ClientDisconnect() : PlatformProcess(patient_config()) {}
   ~ClientDisconnect() override { std::remove(log_file_.c_str()); }
 
-  // Time limits are not tested here and must not be reached on a busy machine.
-  static std::string patient_config() {
-    std::string text = config_text();
-    for (int request_class = 0; request_class < 3; ++request_class)
-      text = replace_once(text, R"("goal_time_ms": 300.0, "deadline_ms": 400.0)",
-                          R"("goal_time_ms": 4000.0, "deadline_ms": 8000.0)");
-    return text;
-  }
-
   void start_then(const std::function<void()>& task) {
     proxy_ = std::make_unique<ChildProcess>(Words{"platform", "--config", config_file_}, log_file_);
     when_ready(task);
--- a/tests/client_flood_test.cpp
+++ b/tests/client_flood_test.cpp
@@ -20,13 +20,6 @@
 using faults::floods;
 
 constexpr long max_memory_growth_kb = 4096;
-// The address sanitizer uses several times the memory and time of the program.
-#ifdef __SANITIZE_ADDRESS__
-constexpr bool resources_are_comparable = false;
-#else
-constexpr bool resources_are_comparable = true;
-#endif
-
 double cpu_seconds_of_children() {
   constexpr double seconds_per_microsecond = 1e-6;
   rusage usage{};
@@ -36,15 +29,6 @@
              static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec);
 }
 
-std::string patient_config() {
-  std::string text = config_text();
-  // Time limits are not tested here and must not be reached on a busy machine.
-  for (int request_class = 0; request_class < 3; ++request_class)
-    text = replace_once(text, R"("goal_time_ms": 300.0, "deadline_ms": 400.0)",
-                        R"("goal_time_ms": 4000.0, "deadline_ms": 8000.0)");
-  return text;
-}
-
 class ClientFlood : public PlatformProcess, public testing::WithParamInterface<std::size_t> {
  protected:
   ClientFlood() : PlatformProcess(patient_config()) {}
@@ -133,10 +117,10 @@
     EXPECT_GT(client->served, min_served);
   EXPECT_THAT(failures_, testing::IsEmpty());
   EXPECT_EQ(proxy_->end(SIGTERM), 0);
-  if (resources_are_comparable) {
+  if (memory_is_comparable) {
     EXPECT_LT(memory_growth_kb_, max_memory_growth_kb);
   }
-  if (resources_are_comparable && !floods()[GetParam()].is_forwarded) {
+  if (memory_is_comparable && !floods()[GetParam()].is_forwarded) {
     EXPECT_LT(cpu_seconds_of_children() - cpu_before,
               max_cpu_share * std::chrono::duration<double>(flood_time).count());
   }
--- a/tests/memory_limit_test.cpp
+++ b/tests/memory_limit_test.cpp
@@ -19,25 +19,14 @@
 using namespace tests;
 
 constexpr long memory_limit_kb = 32L * 1024;
-// The address sanitizer uses several times the memory of the program.
-#ifdef __SANITIZE_ADDRESS__
-constexpr bool memory_is_comparable = false;
-#else
-constexpr bool memory_is_comparable = true;
-#endif
 constexpr std::size_t max_body = std::size_t{64} * 1024;
 constexpr int misbehaving_clients = 400;
 // A response within the proxy's limit, which depends on its memory.
 constexpr std::size_t large_response = 300000;
 
 std::string limited_config() {
-  std::string text = replace_once(config_text(), R"("memory_mb": 64)", R"("memory_mb": 32)");
-  text = replace_once(text, R"("sockets": 256)", R"("sockets": 1024)");
-  // Time limits are not tested here and must not be reached on a busy machine.
-  for (int request_class = 0; request_class < 3; ++request_class)
-    text = replace_once(text, R"("goal_time_ms": 300.0, "deadline_ms": 400.0)",
-                        R"("goal_time_ms": 4000.0, "deadline_ms": 8000.0)");
-  return text;
+  std::string text = replace_once(patient_config(), R"("memory_mb": 64)", R"("memory_mb": 32)");
+  return replace_once(text, R"("sockets": 256)", R"("sockets": 1024)");
 }
 
 std::string chunk(std::size_t size) {
--- a/tests/platform_fixture.h
+++ b/tests/platform_fixture.h
@@ -28,6 +28,22 @@
   return text.replace(at, from.size(), to);
 }
 
+/// The configuration with deadlines that are not reached on a busy machine.
+inline std::string patient_config() {
+  std::string text = config_text();
+  for (int request_class = 0; request_class < 3; ++request_class)
+    text = replace_once(text, R"("goal_time_ms": 300.0, "deadline_ms": 400.0)",
+                        R"("goal_time_ms": 4000.0, "deadline_ms": 8000.0)");
+  return text;
+}
+
+/// Whether memory is comparable with a limit: the address sanitizer uses several times as much.
+#ifdef __SANITIZE_ADDRESS__
+inline constexpr bool memory_is_comparable = false;
+#else
+inline constexpr bool memory_is_comparable = true;
+#endif
+
 /// A simulated service of the platform: a handler of the test responds, and requests are recorded.
 class ScriptedService {
  public:
--- a/tests/soak/connection.cpp
+++ b/tests/soak/connection.cpp
@@ -1,9 +1,7 @@
 #include "connection.h"
 
-#include <arpa/inet.h>
 #include <fcntl.h>
 #include <linux/sockios.h>
-#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -11,30 +9,21 @@
 
 #include <array>
 #include <cerrno>
-#include <cstdint>
 #include <utility>
 
+#include "faults/loopback.h"
+
 namespace robinhoist::soak {
 namespace {
 
 constexpr std::size_t read_chunk_bytes = std::size_t{64} * 1024;
 
+// On loopback connecting does not block, unless the listener's accept queue is full.
 int connect_to(int port) {
-  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  address.sin_port = htons(static_cast<std::uint16_t>(port));
-  // On loopback this does not block, unless the listener's accept queue is full.
-  if (fd >= 0 && ::connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0) {
-    const int on = 1;
-    ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    ::fcntl(fd, F_SETFL, ::fcntl(fd, F_GETFL) | O_NONBLOCK);
-    return fd;
-  }
+  const int fd = faults::connect_to_loopback(port);
   if (fd >= 0)
-    ::close(fd);
-  return -1;
+    ::fcntl(fd, F_SETFL, ::fcntl(fd, F_GETFL) | O_NONBLOCK);
+  return fd;
 }
 
 }  // namespace
--- a/tests/unsound_requests_test.cpp
+++ b/tests/unsound_requests_test.cpp
@@ -24,7 +24,9 @@
 // Sends all requests of a file.
 class RawRequests : public PlatformProcess {
  protected:
-  RawRequests() : PlatformProcess(patient_config()) {}
+  RawRequests()
+      : PlatformProcess(replace_once(patient_config(), R"("sockets": 256)", R"("sockets": 1024)")) {
+  }
 
   // A request that was sent, and what came back.
   struct Sent {
@@ -33,14 +35,6 @@
     RawClient client{};
   };
 
-  static std::string patient_config() {
-    std::string text = replace_once(config_text(), R"("sockets": 256)", R"("sockets": 1024)");
-    for (int request_class = 0; request_class < 3; ++request_class)
-      text = replace_once(text, R"("goal_time_ms": 300.0, "deadline_ms": 400.0)",
-                          R"("goal_time_ms": 4000.0, "deadline_ms": 8000.0)");
-    return text;
-  }
-
   // Bad clients have to be answered within this time.
   static constexpr Duration max_response_time = 3s;
 
