HTTP: a Host is asked of requests that are forwarded, not of readiness checks

A missing Host was refused by the reader, so that 'GET /up HTTP/1.1' without one got a 400; fronts and people checked by it so far, and a front that gets no 200 never takes the proxy in. Not seen on a front; found by going through what the strict rules refuse. The protocols of clients ask for the Host now; two, or one that is no host, are refused everywhere as before. Test: readiness_check_needs_no_host_and_no_latest_version; UnsoundRequests/host passes unchanged.

--- a/src/http/request_rules.cpp
+++ b/src/http/request_rules.cpp
@@ -109,9 +109,8 @@
   return {};
 }
 
-std::optional<ParseError> check_host(const Headers& headers, unsigned version) {
-  const std::size_t hosts = count(headers, "Host");
-  if (hosts > 1 || (hosts == 0 && version >= http_1_1))
+std::optional<ParseError> check_host(const Headers& headers) {
+  if (count(headers, "Host") > 1)
     return ParseError{400, "needs one Host"};
   if (!is_host_and_port(headers.get("Host")))
     return ParseError{400, "Host is not a host and a port"};
@@ -143,7 +142,7 @@
 std::optional<ParseError> check_header(const Request& request) {
   if (!is_target(request.target))
     return ParseError{400, "the target is not a path and a query"};
-  if (auto error = check_host(request.headers, request.version))
+  if (auto error = check_host(request.headers))
     return error;
   if (auto error = check_framing(request.headers, request.version))
     return error;
@@ -163,6 +162,12 @@
   return {};
 }
 
+std::optional<ParseError> check_host_present(const Request& request) {
+  if (request.version >= http_1_1 && !request.headers.has("Host"))
+    return ParseError{400, "needs one Host"};
+  return {};
+}
+
 std::optional<ParseError> check_header_placement(const Request& request,
                                                  std::initializer_list<std::string_view> names) {
   for (const std::string_view name : names) {
--- a/src/http/request_rules.h
+++ b/src/http/request_rules.h
@@ -29,6 +29,8 @@
 /// Checks trailer fields: framing, routing and request modifiers belong to the header section,
 /// where they are known before the body is read (RFC 9110, 6.5.1).
 std::optional<ParseError> check_trailers(const Headers& trailers);
+/// Checks that a request that is to be forwarded has a Host. Simple health checks may come without.
+std::optional<ParseError> check_host_present(const Request& request);
 /// Checks the header fields on which the handling of a request depends. None of them may stand in
 /// the trailers or be named as a connection option: it would be handled by one recipient and
 /// removed for the next.
--- a/src/platform/protocol.cpp
+++ b/src/platform/protocol.cpp
@@ -139,6 +139,8 @@
                                                                proxy::ParsedRequest& parsed) const {
   const http::Headers& headers = exchange.request.headers;
   const RequestClass& request_class = class_of(parsed.info);
+  if (const auto error = http::check_host_present(exchange.request))
+    return proxy::Rejection{error->status, error->reason};
   const auto misplaced = http::check_header_placement(
       exchange.request,
       {wire_names::request_id, wire_names::request_timeout, wire_names::idempotency_key,
--- a/src/proxy/http_protocol.cpp
+++ b/src/proxy/http_protocol.cpp
@@ -108,6 +108,8 @@
   const deployment::Deployment& deployment = settings_.deployment;
   const HeaderNames& names = settings_.headers;
   RequestInfo& info = parsed.info;
+  if (const auto error = http::check_host_present(request))
+    return Rejection{error->status, error->reason};
   const auto misplaced =
       http::check_header_placement(request, {names.tenant, names.idempotency_key, names.routing_key,
                                              names.remaining_time, names.cost_hint, names.retry});
--- a/tests/platform_process_test.cpp
+++ b/tests/platform_process_test.cpp
@@ -67,6 +67,22 @@
   EXPECT_EQ(proxy.end(SIGKILL), 0);
 }
 
+// Guards against a front that never takes the proxy in: its health check may be as short as this.
+TEST_F(PlatformProcess, readiness_check_needs_no_host_and_no_latest_version) {
+  ChildProcess proxy({"platform", "--config", config_file_}, "/dev/null");
+  RawClient old_version;
+  when_ready([&] {
+    connect(client_);
+    client_.stream->write("GET /up HTTP/1.1\r\n\r\n");
+    connect(old_version);
+    old_version.stream->write("GET /up HTTP/1.0\r\n\r\n");
+    loop_.in(200ms, [&] { loop_.stop(); });
+  });
+  run_loop_for(20s);
+  EXPECT_THAT(client_.received, testing::StartsWith("HTTP/1.1 200"));
+  EXPECT_THAT(old_version.received, testing::StartsWith("HTTP/1.1 200"));
+}
+
 double cpu_seconds(const rusage& usage) {
   constexpr double seconds_per_microsecond = 1e-6;
   const auto seconds = static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec);
