--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -72,6 +72,7 @@
   close_idle(0);  // frees descriptors, so that all clients in the kernel's queue can be accepted
   draining_ = true;
   listener_->finish();
+  close_idle(0);
 }
 
 void Server::close_idle(std::size_t left) {
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -20,6 +20,7 @@
 constexpr Duration deferral_interval = std::chrono::milliseconds(5);
 constexpr Duration finish_retry_interval = std::chrono::milliseconds(10);
 constexpr int max_finish_attempts = 100;
+constexpr int max_failures_at_finish = 1024;  // as many as the queue holds
 
 bool out_of_descriptors(int error) {
   return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM;
@@ -98,12 +99,15 @@
     return;
   paused_ = true;
   watcher_->enable(false);
-  for (;;) {
+  for (int failures = 0; failures < max_failures_at_finish;) {
     const int fd = accept_one();
-    if (fd >= 0)
+    if (fd >= 0) {
       on_accept_(fd);
-    else if (!concerns_one_connection(errno))
+      continue;
+    }
+    if (!concerns_one_connection(errno))
       break;
+    ++failures;
   }
   if (out_of_descriptors(errno) && ++finish_attempts_ < max_finish_attempts) {
     ++fd_exhaustions_;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -112,6 +112,8 @@
   if (writing_ == enabled || state_ == State::closed)
     return;
   writing_ = enabled;
+  if (enabled && !registered_)  // while discarding pauses
+    register_with_loop();
   const Observer<Poco::Net::WritableNotification> observer(*this, &Stream::handle_writable);
   if (enabled) {
     loop_.addEventHandler(socket_, observer);
